--- a/elderpaddle/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""elderpaddle: an overload controller that lives inside each server of a fleet."""
--- a/elderpaddle/brain.py
+++ b/spindlerelay/brain.py
@@ -1,6 +1,6 @@
-"""elderpaddle's decisions for one server: what is held, run, turned away, called and advised.
+"""spindlerelay's decisions for one server: what is held, run, turned away, called and advised.
 
-Types, events and actions are in elderpaddle/interface.py; reasons and limits in docs/design.md."""
+Types, events and actions are in spindlerelay/interface.py; reasons and limits in docs/design.md."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 import random
 from collections import deque
 
-from elderpaddle import interface as api
+from spindlerelay import interface as api
 
 TICK_MS = 50.0  # ms between looks at the gauges while there is work: well under any aim
 AGE_MS = 200.0  # ms between ageings of the windows, and looks while idle; an alarm as late is a standstill
--- a/elderpaddle/interface.py
+++ b/spindlerelay/interface.py
@@ -71,6 +71,7 @@
     calls: bool = False
     skip_worth: float = 0.0
     aim_stretch: float = 0.0
+    name: str = ""
 
 
 @dataclass(frozen=True)
@@ -79,6 +80,7 @@
 
     cores: int
     classes: tuple[ClassSettings, ...]
+    tenant_names: tuple[str, ...] = ()
     tenant_quotas_per_s: tuple[float, ...] = ()
     over_share_worth: float = 1.0
     servers: int = 1
--- /dev/null
+++ b/spindlerelay/net/exchange.py
@@ -0,0 +1,71 @@
+"""What a front and the node say to each other: requests, final answers, and the part of each."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import NamedTuple, Protocol
+
+
+@dataclass(slots=True, eq=False)
+class Ask:
+    """A request as a balancer sent it. Times are Unix milliseconds."""
+
+    call: str
+    cls: int
+    recv: float
+    due: float
+    body: bytes
+    tenant: int = 0
+    caller: int = 0
+    retry: bool = False
+    held_kb: float = 0.0
+    rank: float = 0.0
+    dedupe: str = ""  # in keyed classes: the same for all tries of one request
+    row: int = 0  # what a read is about
+
+
+class Served(NamedTuple):
+    """The result of a run, unchanged."""
+
+    result: bytes
+
+
+class Refused(NamedTuple):
+    """This try never ran."""
+
+    pushback_ms: float = 0.0
+    last: bool = False
+
+
+class Failed(NamedTuple):
+    """An error, with no assurance attached."""
+
+    reason: str = "Failed"
+
+
+Outcome = Served | Refused | Failed
+
+
+class Front(Protocol):
+    """A protocol that balancers speak. It hands every ``Ask`` to the node and sends each answer once."""
+
+    def answer(self, ask: Ask, outcome: Outcome) -> None: ...
+
+    def reachable(self, ask: Ask) -> bool: ...
+
+    def close_idle(self, for_ms: float) -> None: ...
+
+    def drain(self) -> None: ...
+
+    def quiet(self) -> bool: ...
+
+    def stop(self) -> None: ...
+
+
+class Receiver(Protocol):
+    """The node as a front sees it: it takes requests, and says what answers and health checks tell."""
+
+    load: float | None
+    healthy: bool
+
+    def take(self, front: Front, ask: Ask) -> None: ...
--- /dev/null
+++ b/spindlerelay/net/interpreter.py
@@ -0,0 +1,248 @@
+"""The interpreter: codec of its notices, and the link that is held open to it.
+
+The link may break at any time while runs go on. Notices are numbered, so a new link replays those
+that were not read. Commands are not numbered, so each is kept until the answer to a later ``TOP`` proves that
+it was read; on a new link those left are sent again, once the replay has told which had arrived after all."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from loguru import logger
+
+from spindlerelay.net import lines
+from spindlerelay.net.lines import LineError
+from spindlerelay.net.loop import Connection, Loop, connect
+
+RETRY_MS, RETRY_MOST_MS = 20.0, 500.0
+ENDS = frozenset({"fine", "fault", "broken_off", "late"})
+
+
+class Banner(NamedTuple):
+    state: str
+    age_ms: float
+
+
+class Value(NamedTuple):
+    """A run is over."""
+
+    number: int
+    call: str
+    end: str
+    took_ms: float
+    result: bytes
+
+
+class Await(NamedTuple):
+    """A run waits for a call."""
+
+    number: int
+    call: str
+    body: bytes
+
+
+class Tops(NamedTuple):
+    tag: str
+    gauges: tuple[float, ...]
+
+
+class Refusal(NamedTuple):
+    """A command was not carried out."""
+
+    command: str
+    call: str
+
+
+class Trace(NamedTuple):
+    number: int
+
+
+Notice = Banner | Value | Await | Tops | Refusal | Trace
+
+
+def sized(words: list[str]) -> int | None:
+    if words[0] == "VALUE" and len(words) == 6:
+        return lines.length(words[5])
+    if words[0] == "AWAIT" and len(words) == 4:
+        return lines.length(words[3])
+    return None
+
+
+def _int(word: str) -> int:
+    if not word.isascii() or not word.isdigit() or len(word) > 18:
+        raise LineError(f"bad number {word[:20]!r}")
+    return int(word)
+
+
+def _float(word: str) -> float:
+    try:
+        value = float(word)
+    except ValueError:
+        raise LineError(f"bad figure {word[:20]!r}") from None
+    if not 0.0 <= value < float("inf"):
+        raise LineError(f"bad figure {word[:20]!r}")
+    return value
+
+
+def _end(word: str) -> str:
+    if word not in ENDS:
+        raise LineError(f"unknown end {word[:20]!r}")
+    return word
+
+
+def decode(words: list[str], block: bytes) -> Notice:
+    """One message of the interpreter."""
+    match words:
+        case ["VALUE", number, call, end, took, _]:
+            return Value(_int(number), call, _end(end), _float(took), block)
+        case ["AWAIT", number, call, _]:
+            return Await(_int(number), call, block)
+        case ["TOPS", tag, *gauges]:
+            return Tops(tag, tuple(map(_float, gauges)))
+        case ["BANNER", state, age]:
+            return Banner(state, _float(age))
+        case ["ERROR", command, call]:
+            return Refusal(command, call)
+        case ["ERROR", command]:
+            return Refusal(command, "")
+        case ["TRACE", number, *_]:
+            return Trace(_int(number))
+    raise LineError(f"not a notice: {' '.join(words)[:60]!r}")
+
+
+class Command(NamedTuple):
+    """A command about a request, kept until it is known to have been read."""
+
+    seq: int
+    call: str
+    data: bytes
+
+
+class Interpreter:
+    """The link. ``on_notice`` gets every notice once, in order."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        address: tuple[str, int],
+        on_notice: Callable[[Value | Await | Refusal], None],
+        on_up: Callable[[Banner], None],
+    ) -> None:
+        self.loop, self.address, self.on_notice, self.on_up = loop, address, on_notice, on_up
+        self.gauges: tuple[float, ...] = ()
+        self.tops_tag = ""  # of the last gauges that were answered
+        self.up = False  # a banner has come since the start of this process
+        self._connection: Connection | None = None
+        self._decoder = lines.LineDecoder(sized)
+        self._backoff = lines.Backoff(RETRY_MS, RETRY_MOST_MS)
+        self._last = 0  # number of the last notice that was read
+        self._seq = 0
+        self._unread: list[Command] = []
+        self._synced = False  # the replay on this link is over
+        self._sync_tag = ""
+        self._links = 0
+        self._connect()
+
+    def apply(self, call: str, cls: str, body: bytes) -> None:
+        self._send(call, lines.line("APPLY", call, cls, block=body))
+
+    def resolve(self, call: str, reply: bytes) -> None:
+        self._send(call, lines.line("RESOLVE", call, block=reply))
+
+    def stub(self, call: str, number: int) -> None:
+        self._send(call, lines.line("STUB", call, number))
+
+    def top(self) -> str:
+        """Ask for the gauges; the tag under which they will come, empty while there is no link."""
+        if not self._synced or not self._connection:
+            return ""
+        tag = self._tag()
+        self._connection.write(lines.line("TOP", tag))
+        return tag
+
+    def _tag(self) -> str:
+        # The number is that of the last command before it: the answer proves that all up to it were read.
+        return f"t{self._links}-{self._seq}"
+
+    def _send(self, call: str, data: bytes) -> None:
+        self._seq += 1
+        self._unread.append(Command(self._seq, call, data))
+        if self._synced and self._connection:
+            self._connection.write(data)
+
+    def _connect(self) -> None:
+        self._decoder = lines.LineDecoder(sized)
+        self._synced = False
+        self._links += 1
+        self._connection = connect(self.loop, self.address, self._data, self._closed, self._opened)
+
+    def _opened(self) -> None:
+        assert self._connection
+        self._sync_tag = f"t{self._links}-sync"
+        self._connection.write(lines.line("CONNECT", self._last) + lines.line("TOP", self._sync_tag))
+
+    def _closed(self, opened: bool) -> None:
+        self._connection, self._synced = None, False
+        if opened:
+            self.loop.warnings.warn("interpreter link lost", "runs go on, connecting again")
+        self.loop.after(self._backoff.wait(), self._connect)
+
+    def _data(self, data: bytes) -> None:
+        try:
+            for words, block in self._decoder.feed(data):
+                self._take(decode(words, block))
+        except LineError as error:
+            self._drop(str(error))
+
+    def _drop(self, why: str) -> None:
+        self.loop.warnings.warn("malformed line from the interpreter", why)
+        if self._connection:
+            self._connection.close()
+
+    def _take(self, notice: Notice) -> None:
+        match notice:
+            case Banner():
+                self._banner(notice)
+            case Tops():
+                self._tops(notice)
+            case Refusal():
+                self._settled(notice.call)
+                self.on_notice(notice)
+            case _:
+                self._numbered(notice)
+
+    def _banner(self, banner: Banner) -> None:
+        logger.info("interpreter up: {} {:.0f} ms ago", banner.state, banner.age_ms)
+        self.up = True
+        self.on_up(banner)
+
+    def _numbered(self, notice: Value | Await | Trace) -> None:
+        if notice.number <= self._last:
+            return  # a replay may tell again what was read
+        if notice.number > self._last + 1:
+            # What lies between was lost with an older link: only a new replay can bring it.
+            raise LineError(f"notice {notice.number} follows notice {self._last}")
+        self._last = notice.number
+        if not isinstance(notice, Trace):
+            self._settled(notice.call)
+            self.on_notice(notice)
+
+    def _settled(self, call: str) -> None:
+        """A notice about a request proves that the commands about it were read, or are void."""
+        if self._unread:
+            self._unread = [command for command in self._unread if command.call != call]
+
+    def _tops(self, tops: Tops) -> None:
+        self.gauges, self.tops_tag = tops.gauges, tops.tag
+        if tops.tag == self._sync_tag:
+            # The replay came before this answer. A run that had been started is not started again by APPLY.
+            self._synced = True
+            self._backoff.reset()  # not at the banner: a malformed line in the replay comes again and again
+            for command in self._unread:
+                if self._connection:
+                    self._connection.write(command.data)
+            return
+        link, _, seq = tops.tag.partition("-")
+        if link == f"t{self._links}" and seq.isdigit() and self._unread:
+            self._unread = [command for command in self._unread if command.seq > int(seq)]
--- /dev/null
+++ b/spindlerelay/net/loop.py
@@ -0,0 +1,298 @@
+"""One selector, buffered connections and a wheel of timers: all that is ready is gathered before
+anything is decided, and what was decided is written before the next wait."""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import selectors
+import socket
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+from loguru import logger
+
+from spindlerelay.net.wheel import Timer, Wheel
+
+READ_BYTES = 32768  # per connection and round: bounds what one peer adds before the others get their turn
+OUT_HIGH = 32768  # bytes unsent past which nothing more is read from a peer: it asks but does not read
+ACCEPTS = 64  # connections taken in one round
+LOG_EVERY_MS = 1000.0
+
+
+def clock() -> float:
+    """The system's Unix clock in milliseconds: the one that balancers stamp requests with."""
+    return time.time() * 1000.0
+
+
+class RateLimited:
+    """One log line a second of a kind, with the number of those left out."""
+
+    def __init__(self) -> None:
+        self._last: dict[str, float] = {}
+        self._missed: dict[str, int] = {}
+
+    def warn(self, kind: str, detail: str) -> None:
+        now = clock()
+        if abs(now - self._last.get(kind, 0.0)) < LOG_EVERY_MS:
+            self._missed[kind] = self._missed.get(kind, 0) + 1
+            return
+        self._last[kind] = now
+        missed = self._missed.pop(kind, 0)
+        logger.warning("{}: {}{}", kind, detail, f" ({missed} more since the last line)" if missed else "")
+
+
+class Ready(Protocol):
+    """What the loop calls when a descriptor is ready."""
+
+    def ready(self, mask: int) -> None: ...
+
+    def broken(self) -> None: ...
+
+
+class Loop:
+    """The program's only loop."""
+
+    def __init__(self) -> None:
+        self.wheel = Wheel()
+        self.warnings = RateLimited()
+        self.running = True
+        self._selector = selectors.DefaultSelector()
+        self._dirty: dict[Connection, None] = {}
+
+    def watch(self, sock: socket.socket, mask: int, handler: Ready) -> None:
+        self._selector.register(sock, mask, handler)
+
+    def change(self, sock: socket.socket, mask: int, handler: Ready) -> None:
+        self._selector.modify(sock, mask, handler)
+
+    def forget(self, sock: socket.socket) -> None:
+        with contextlib.suppress(KeyError, ValueError):
+            self._selector.unregister(sock)
+
+    def after(self, delay_ms: float, action: Callable[[], None]) -> Timer:
+        return self.wheel.at(clock() + delay_ms, action)
+
+    def dirty(self, connection: Connection) -> None:
+        self._dirty[connection] = None
+
+    def run(self, settle: Callable[[], None]) -> None:
+        """Gather what is ready, let ``settle`` decide on it, write; until ``running`` is unset."""
+        while self.running:
+            self.turn(settle)
+
+    def turn(self, settle: Callable[[], None]) -> None:
+        due = self.wheel.next_ms()
+        wait = None if due is None else max(0.0, due - clock()) / 1000.0
+        for key, mask in self._selector.select(wait):
+            handler: Ready = key.data
+            try:
+                handler.ready(mask)
+            except Exception as error:  # nothing that a peer sends may end the program
+                logger.opt(exception=True).error("a connection failed in the program: {!r}", error)
+                handler.broken()
+        for timer in self.wheel.due(clock()):
+            try:
+                timer.action()
+            except Exception as error:  # nor may a timer
+                logger.opt(exception=True).error("a timer failed in the program: {!r}", error)
+        settle()
+        self.flush()
+
+    def flush(self) -> None:
+        while self._dirty:
+            batch, self._dirty = self._dirty, {}
+            for connection in batch:
+                connection.flush()
+
+
+class Connection:
+    """A non-blocking stream socket with an output buffer. ``on_data`` gets what was read; ``on_close`` is
+    called once, with True where the connection had been established."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        sock: socket.socket,
+        on_data: Callable[[bytes], None],
+        on_close: Callable[[bool], None],
+        on_open: Callable[[], None] | None = None,
+    ) -> None:
+        self.loop, self.sock = loop, sock
+        self.on_data, self.on_close, self.on_open = on_data, on_close, on_open
+        self.out = bytearray()
+        self.open = True
+        self.opening = on_open is not None
+        self.paused = False
+        self.ending = False
+        self._mask = selectors.EVENT_WRITE if self.opening else selectors.EVENT_READ
+        loop.watch(sock, self._mask, self)
+
+    def write(self, data: bytes) -> None:
+        """Queue for the end of the turn: one send for all that a turn writes to a peer."""
+        if self.open and not self.ending:
+            self.out += data
+            self.loop.dirty(self)
+
+    def pause(self, paused: bool) -> None:
+        """Stop or go on reading."""
+        if paused != self.paused:
+            self.paused = paused
+            self._remask()
+
+    def end(self) -> None:
+        """Close once everything written is sent."""
+        self.ending = True
+        self.loop.dirty(self)
+
+    def close(self) -> None:
+        if not self.open:
+            return
+        self.open = False
+        self.loop.forget(self.sock)
+        self.sock.close()
+        self.out.clear()
+        self.on_close(not self.opening)
+
+    broken = close
+
+    def ready(self, mask: int) -> None:
+        if not self.open:  # closed by what another descriptor of this round brought
+            return
+        if self.opening:
+            self._opened()
+            return
+        if mask & selectors.EVENT_READ and self.open:
+            self._read()
+        if mask & selectors.EVENT_WRITE and self.open:
+            self.flush()
+
+    def _opened(self) -> None:
+        if self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self.close()
+            return
+        self.opening = False
+        self._remask()
+        if self.on_open:
+            self.on_open()
+
+    def _read(self) -> None:
+        try:
+            data = self.sock.recv(READ_BYTES)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            data = b""
+        if not data:
+            self.close()
+        else:
+            self.on_data(data)
+
+    def flush(self) -> None:
+        if not self.open or self.opening:
+            return
+        if self.out:
+            try:
+                sent = self.sock.send(self.out)
+            except (BlockingIOError, InterruptedError):
+                sent = 0
+            except OSError:
+                self.close()
+                return
+            del self.out[:sent]
+        if self.ending and not self.out:
+            self.close()
+            return
+        self._remask()
+
+    def _remask(self) -> None:
+        if not self.open or self.opening:
+            return
+        # A peer that does not read gets no further hearing until it does: its answers would pile up here.
+        mask = 0 if self.paused or len(self.out) > OUT_HIGH else selectors.EVENT_READ
+        mask |= selectors.EVENT_WRITE if self.out else 0
+        if mask == self._mask:
+            return
+        if not mask:
+            self.loop.forget(self.sock)
+        elif not self._mask:
+            self.loop.watch(self.sock, mask, self)
+        else:
+            self.loop.change(self.sock, mask, self)
+        self._mask = mask
+
+
+def connect(
+    loop: Loop,
+    address: tuple[str, int],
+    on_data: Callable[[bytes], None],
+    on_close: Callable[[bool], None],
+    on_open: Callable[[], None],
+) -> Connection:
+    """A connection under way. A refusal is told by ``on_close(False)``, in a later turn."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    connection = Connection(loop, sock, on_data, on_close, on_open)
+    try:
+        failed = sock.connect_ex(address) not in (0, errno.EINPROGRESS)
+    except OSError:
+        failed = True
+    if failed:
+        loop.after(0.0, connection.close)
+    return connection
+
+
+class Listener:
+    """Takes connections; ``on_accept`` owns them. Held back, new ones wait in the kernel's queue."""
+
+    def __init__(
+        self, loop: Loop, address: tuple[str, int], on_accept: Callable[[socket.socket], None]
+    ) -> None:
+        self.loop, self.on_accept = loop, on_accept
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.setblocking(False)
+        self.sock.bind(address)
+        self.sock.listen(1024)
+        self.open, self.held = True, False
+        loop.watch(self.sock, selectors.EVENT_READ, self)
+
+    def ready(self, mask: int) -> None:
+        for _ in range(ACCEPTS):
+            if self.held or not self.open:
+                return
+            try:
+                sock, _ = self.sock.accept()
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as error:
+                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS):
+                    # Out of descriptors: without a pause the loop would spin on the waiting connection.
+                    self.loop.warnings.warn("cannot accept", str(error))
+                    self.hold(True)
+                    self.loop.after(100.0, lambda: self.hold(False))
+                return
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.on_accept(sock)
+
+    def hold(self, held: bool) -> None:
+        if not self.open or held == self.held:
+            return
+        self.held = held
+        if held:
+            self.loop.forget(self.sock)
+        else:
+            self.loop.watch(self.sock, selectors.EVENT_READ, self)
+
+    def close(self) -> None:
+        if self.open:
+            self.open = False
+            self.loop.forget(self.sock)
+            self.sock.close()
+
+    def broken(self) -> None:
+        self.hold(True)
+        self.loop.after(100.0, lambda: self.hold(False))
--- /dev/null
+++ b/spindlerelay/net/msgpackrpc.py
@@ -0,0 +1,153 @@
+"""Codec of the balancers' protocol, MessagePack-RPC: bytes to calls and back, no sockets, no decisions."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+import msgpack
+
+from spindlerelay.net.exchange import Ask, Failed, Outcome, Refused, Served
+
+MAX_BODY = 2048  # bytes, by the protocol
+MAX_FRAME = 16384  # bytes: body, a dozen short fields and a wide margin
+MAX_ITEMS = 64  # in one array or map: an honest frame has a dozen
+MAX_MSGID = 2**32
+MAX_MS = 1e6  # no request waits longer; also keeps inf out of the arithmetic
+HEX16 = re.compile(r"[0-9a-fA-F]{16}\Z")
+HEX32 = re.compile(r"[0-9a-fA-F]{32}\Z")
+DIGITS = re.compile(r"[0-9]{1,15}\Z")
+DECIMAL = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?(e-?[0-9]{1,2})?\Z")
+GOAWAY: bytes = msgpack.packb([2, "goaway", []])
+
+
+class Call(NamedTuple):
+    """A readable request; its parameters may still be wrong."""
+
+    msgid: int
+    method: str
+    params: list[Any]
+
+
+class FieldError(Exception):
+    """A readable request with bad fields."""
+
+
+class Decoder:
+    """Frames of one connection. Once ``broken`` says why, nothing more can be read from it."""
+
+    def __init__(self) -> None:
+        self.broken = ""
+        self._fed = self._ended = 0
+        self._unpacker = msgpack.Unpacker(
+            raw=False, max_buffer_size=8 * MAX_FRAME, max_str_len=MAX_FRAME, max_bin_len=MAX_BODY,
+            max_array_len=MAX_ITEMS, max_map_len=MAX_ITEMS, max_ext_len=0,
+        )  # fmt: skip
+
+    def feed(self, data: bytes) -> list[Call]:
+        """The calls that are complete now, those before a broken frame too."""
+        calls: list[Call] = []
+        try:
+            self._unpacker.feed(data)
+            self._fed += len(data)
+            for frame in self._unpacker:
+                ended = self._unpacker.tell()
+                if ended - self._ended > MAX_FRAME:
+                    raise ValueError("oversized frame")
+                self._ended = ended
+                if call := _call(frame):
+                    calls.append(call)
+            if self._fed - self._ended > MAX_FRAME:
+                raise ValueError("oversized frame")
+        except Exception as error:  # the library raises many kinds; all mean that the stream is unreadable
+            self.broken = str(error) or type(error).__name__
+        return calls
+
+
+def _call(frame: Any) -> Call | None:
+    """None for a notification, which asks for no answer."""
+    if not isinstance(frame, list) or not frame:
+        raise ValueError("not a message")
+    if frame[0] == 2 and len(frame) == 3:
+        return None
+    if frame[0] == 1:
+        raise ValueError("a response where a request belongs")
+    if type(frame[0]) is not int or frame[0] != 0 or len(frame) != 4:
+        raise ValueError("not a request")
+    _, msgid, method, params = frame
+    if type(msgid) is not int or not 0 <= msgid < MAX_MSGID:
+        raise ValueError("bad message id")
+    if not isinstance(method, str) or not isinstance(params, list):
+        raise ValueError("bad method or parameters")
+    return Call(msgid, method, params)
+
+
+def _matching(fields: Mapping[str, Any], name: str, pattern: re.Pattern[str]) -> str:
+    value = fields.get(name)
+    if not isinstance(value, str) or not pattern.match(value):
+        raise FieldError(f"bad field {name}")
+    return value
+
+
+def _number(fields: Mapping[str, Any], name: str, least: float, under: float) -> float:
+    value = float(_matching(fields, name, DECIMAL))
+    if not least <= value < under:
+        raise FieldError(f"bad field {name}")
+    return value
+
+
+def parse_ask(cls: int, keyed: bool, tenants: Mapping[str, int], params: list[Any]) -> Ask:
+    """The request in the parameters of a call; FieldError names the field that is wrong."""
+    if len(params) != 2 or not isinstance(params[0], dict) or not isinstance(params[1], bytes):
+        raise FieldError("a request needs fields and a body")
+    fields, body = params
+    recv = float(_matching(fields, "recv", DIGITS))
+    tenant = tenants.get(fields.get("org", "")) if tenants else 0
+    if tenant is None:
+        raise FieldError("bad field org")
+    held_kb = _number(fields, "heap", 0.0, 2000.0)
+    if not held_kb:
+        raise FieldError("bad field heap")
+    return Ask(
+        call=_matching(fields, "call", HEX16).lower(),
+        cls=cls,
+        recv=recv,
+        due=recv + _number(fields, "ttl", 0.0, MAX_MS),
+        body=body,
+        tenant=tenant,
+        caller=int(_matching(fields, "src", DIGITS)) & 0xFFFFFFFF,
+        retry=fields.get("rep") == "1",
+        held_kb=held_kb,
+        rank=_number(fields, "crit", 0.0, 1.0),
+        dedupe=_matching(fields, "dedupe", HEX32) if keyed else "",
+        row=int(_matching(fields, "row", HEX16), 16) if "row" in fields and not keyed else 0,
+    )
+
+
+def _fields(load: float | None) -> dict[str, str]:
+    return {} if load is None else {"load": f"{load:.4f}"}
+
+
+def encode_answer(msgid: int, outcome: Outcome, load: float | None) -> bytes:
+    """A final answer."""
+    fields = _fields(load)
+    if isinstance(outcome, Served):
+        frame = [1, msgid, None, [outcome.result, fields]]
+    elif isinstance(outcome, Failed):
+        frame = [1, msgid, [outcome.reason, fields], None]
+    else:
+        frame = [1, msgid, ["Busy", fields | _advice(outcome)], None]
+    packed: bytes = msgpack.packb(frame)
+    return packed
+
+
+def _advice(outcome: Refused) -> dict[str, str]:
+    advice = {"pushback": str(round(outcome.pushback_ms))} if round(outcome.pushback_ms) > 0 else {}
+    return advice | ({"stop": "1"} if outcome.last else {})
+
+
+def encode_health(msgid: int, healthy: bool, load: float | None) -> bytes:
+    """The answer to a health check."""
+    packed: bytes = msgpack.packb([1, msgid, None, [healthy, _fields(load)]])
+    return packed
--- /dev/null
+++ b/spindlerelay/net/node.py
@@ -0,0 +1,369 @@
+"""The node: it maps ids, gives the module what has happened, and carries out what the module decides.
+
+It knows no balancer protocol. Whatever the module or a peer does, it holds itself to one final answer for
+each request, in time and once; to no second run of a keyed request; to no run past the drain's grace."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from loguru import logger
+
+from spindlerelay import interface as api
+from spindlerelay.net import interpreter, store
+from spindlerelay.net.announce import Announcer
+from spindlerelay.net.exchange import Ask, Failed, Front, Outcome, Refused, Served
+from spindlerelay.net.loop import Loop, clock
+from spindlerelay.net.repeats import Key, Repeats
+from spindlerelay.net.wheel import TICK_MS, Timer
+
+GAUGES_WAIT_MS = 4 * TICK_MS  # an alarm waits so long for its gauges, then goes with the last ones
+WATCH_MS = 250.0  # a module that asks for no alarm is woken all the same
+EXPIRE_MS = 1000.0  # between looks at the table of repeats
+LEAVE_MS = 150.0  # of the time until the process is stopped that is kept for the last answers to leave
+QUIET_MS = 300.0  # with nothing open past the drain's grace, after which there is no reason to stay
+
+ENDS = {
+    "fine": api.Outcome.OK,
+    "fault": api.Outcome.ERROR,
+    "broken_off": api.Outcome.CANCELLED,
+    "late": api.Outcome.MOOT,
+}
+
+
+class Module(Protocol):
+    """The decision module, as far as the node knows it."""
+
+    def step(self, now_ms: float, events: list[api.Event]) -> list[api.Action]: ...
+
+
+class Try:
+    """One request from its reading until it is answered and its run is over."""
+
+    __slots__ = (
+        "id", "ask", "front", "guard", "answered", "running", "leader", "key", "waits", "body", "since",
+    )  # fmt: skip
+
+    def __init__(self, rid: int, ask: Ask, front: Front) -> None:
+        self.id, self.ask, self.front = rid, ask, front
+        self.guard: Timer | None = None
+        self.answered = self.running = False
+        self.leader = 0  # the try whose result this one waits for
+        self.key: Key | None = None
+        self.waits = 0  # number of the notice by which the run asked for a call
+        self.body = b""  # of that call
+        self.since = 0.0  # when the run or the call began
+
+
+class Node:
+    """Between the fronts, the module and the peers."""
+
+    def __init__(self, loop: Loop, settings: api.Settings, module: Module) -> None:
+        self.loop, self.settings, self.module = loop, settings, module
+        self.repeats = Repeats()
+        self.load: float | None = None
+        self.healthy = True
+        self.stop_at = self.last_run = float("inf")
+        self.interpreter: interpreter.Interpreter
+        self.store: store.Store
+        self.announcer: Announcer
+        self.fronts: list[Front] = []
+        self._inbox: list[api.Event] = []
+        self._tries: dict[int, Try] = {}
+        self._calls: dict[str, Try] = {}
+        self._next_id = 1
+        self._alarms = 0
+        self._started = False
+        self._quiet_since = 0.0
+        self._carry: dict[type, Callable[[Any], None]] = {
+            api.Run: self._run, api.Refuse: self._refuse, api.Fail: self._fail, api.Call: self._call,
+            api.Skip: self._skip, api.Keep: self._keep, api.Forget: lambda a: self.repeats.forget(a.id),
+            api.Reuse: self._reuse, api.Health: self._health, api.Say: self._say, api.Idle: self._idle,
+            api.Alarm: lambda a: self._alarm(a.in_ms, a.token), api.Log: lambda a: logger.info("{}", a.text),
+            api.Halt: lambda a: self.loop.warnings.warn("not in the protocol", "a run cannot be halted"),
+        }  # fmt: skip
+
+    def add_front(self, front: Front) -> None:
+        self.fronts.append(front)
+
+    def start(
+        self, vm: tuple[str, int], store_address: tuple[str, int], announce: tuple[str, int], name: str
+    ) -> None:
+        """Open the links to the peers."""
+        self.interpreter = interpreter.Interpreter(self.loop, vm, self._on_notice, self._on_up)
+        self.store = store.Store(self.loop, store_address, self._on_reply)
+        self.announcer = Announcer(self.loop, announce, name)
+        self.loop.after(WATCH_MS, self._watch)
+        self.loop.after(EXPIRE_MS, self._expire)
+
+    def drain(self, left_ms: float) -> None:
+        """The notice to leave: tell the module, the list and the balancers, and end when all is answered."""
+        if self.stop_at < float("inf"):
+            return
+        now = clock()
+        logger.info("leaving: notice received, stop in {:.0f} ms", left_ms)
+        self.stop_at, self.last_run = now + left_ms, now + self.settings.drain_grace_ms
+        self._inbox.append(api.Drain(max(0.0, left_ms - LEAVE_MS)))
+        self.healthy = False
+        self.announcer.tell(False)
+        for front in self.fronts:
+            front.drain()
+        self.loop.wheel.at(self.stop_at - LEAVE_MS, self._answer_all)
+        self._leave()
+
+    def _leave(self) -> None:
+        """End once nothing is open and nothing more may be run, or at the last moment."""
+        now = clock()
+        open_tries = any(not work.answered for work in self._tries.values())
+        if open_tries or not all(front.quiet() for front in self.fronts):
+            self._quiet_since = now
+        quiet = now > self.last_run and now - self._quiet_since > QUIET_MS
+        if quiet or now >= self.stop_at - LEAVE_MS / 2:
+            for front in self.fronts:
+                front.stop()
+            self._answer_all()
+            self.loop.running = False
+            logger.info("left: everything read is answered")
+        else:
+            self.loop.after(4 * TICK_MS, self._leave)
+
+    def _answer_all(self) -> None:
+        for work in list(self._tries.values()):
+            self._overdue(work)
+
+    def take(self, front: Front, ask: Ask) -> None:
+        """A request has been read."""
+        now = clock()
+        if earlier := self._calls.get(ask.call):
+            # Ids are new with every try: this is the same one, sent again since its connection ended.
+            if earlier.answered or earlier.front.reachable(earlier.ask):
+                front.answer(ask, Failed("Duplicate: this call is being worked on"))
+            else:
+                earlier.front, earlier.ask = front, ask
+            return
+        rid, self._next_id = self._next_id, self._next_id + 1
+        work = self._tries[rid] = self._calls[ask.call] = Try(rid, ask, front)
+        work.guard = self.loop.wheel.at(ask.due, lambda: self._overdue(work))
+        spec = self.settings.classes[ask.cls]
+        original = 0
+        if spec.effect is api.Effect.KEYED:
+            work.key = ask.dedupe
+        elif ask.row and self.settings.fresh_ms > 0:
+            work.key = (ask.cls, ask.row)
+        if work.key is not None:
+            original = self.repeats.link(work.key, rid, ask.recv, now)
+        self._inbox.append(api.Request(
+            rid, ask.cls, max(0.0, now - ask.recv), max(0.001, ask.due - now), ask.row, original, ask.rank,
+            ask.held_kb, ask.tenant, 0.0, ask.retry, not ask.row, ask.caller,
+        ))  # fmt: skip
+        work.leader = original
+
+    def settle(self) -> None:
+        """Give the module in one step all that a turn has brought, then carry out its actions in order."""
+        if not self._inbox or not self._started:
+            return
+        events, self._inbox = self._inbox, []
+        now = clock()
+        try:
+            actions = self.module.step(now, events)
+        except Exception as error:  # a fault in one decision must not cost the other requests their answers
+            logger.opt(exception=True).error("the module failed: {!r}", error)
+            actions = []
+        for action in actions:
+            try:
+                self._carry[type(action)](action)
+            except Exception as error:
+                logger.opt(exception=True).error("an action failed: {!r}: {!r}", action, error)
+        self.repeats.end_batch()
+
+    # Answers
+
+    def _answer(self, work: Try, outcome: Outcome) -> None:
+        """The one final answer."""
+        if work.answered:
+            return
+        work.answered = True
+        if work.guard:
+            work.guard.cancel()
+        work.front.answer(work.ask, outcome)
+        if not work.running:
+            self._close(work)
+
+    def _close(self, work: Try) -> None:
+        self._tries.pop(work.id, None)
+        self._calls.pop(work.ask.call, None)
+
+    def _overdue(self, work: Try) -> None:
+        """Guards the due time: the module had its chance, and no request may end without an answer."""
+        if work.answered:
+            return
+        self.loop.warnings.warn("answered for the module", f"call {work.ask.call} was due")
+        self._give_up(work, Failed("Late"))
+        self._inbox.append(api.Gone(work.id))
+
+    def _give_up(self, work: Try, outcome: Outcome) -> None:
+        """An answer that no run made. What was held will not run; its followers learn so."""
+        if work.waits:
+            self.store.drop(work.ask.call)
+            work.waits = 0
+        if work.leader:
+            self.repeats.unfollow(work.leader, work.id)
+        elif not work.running and work.key is not None:
+            self._tell_followers(self.repeats.finish(work.id, None), None)
+        self._answer(work, outcome)
+
+    def _tell_followers(self, followers: list[int], result: bytes | None) -> None:
+        for rid in followers:
+            if work := self._tries.get(rid):
+                self._end_follower(work, result)
+
+    def _end_follower(self, work: Try, result: bytes | None) -> None:
+        ended = api.Outcome.ERROR if result is None else api.Outcome.OK
+        self._inbox.append(api.Done(work.id, ended, clock() - work.since))
+        self._answer(work, Failed() if result is None else Served(result))
+
+    # The module's actions
+
+    def _run(self, action: api.Run) -> None:
+        work = self._tries.get(action.id)
+        if work is None or work.running or work.answered:
+            self._inbox.append(api.Done(action.id, api.Outcome.MOOT))
+            return
+        spec, keyed = self.settings.classes[work.ask.cls], isinstance(work.key, str)
+        late = work.ask.recv > self.last_run
+        if late or (keyed and work.key is not None and not self.repeats.may_run(work.id, work.key)):
+            # Guards two rules against the module: no second run of a keyed request, none past the grace.
+            why = "past the grace of the notice to leave" if late else "entry of a keyed request lost"
+            self.loop.warnings.warn("run refused", why)
+            self._give_up(work, Refused() if late else Failed())
+            self._inbox.append(api.Done(work.id, api.Outcome.MOOT))
+            return
+        if keyed:
+            self.repeats.run(work.id, work.ask.recv + spec.key_window_ms + TICK_MS)
+        work.running, work.since = True, clock()
+        self.interpreter.apply(work.ask.call, spec.name, work.ask.body)
+
+    def _refuse(self, action: api.Refuse) -> None:
+        work = self._tries.get(action.id)
+        if work is None or work.answered:
+            return
+        outcome: Outcome = Refused(action.stay_away_ms, action.last)
+        if work.running or (isinstance(work.key, str) and self.repeats.has_run(work.key)):
+            outcome = Failed()  # 'never ran' would be untrue of the request, and it might be run elsewhere
+        self._give_up(work, outcome)
+
+    def _fail(self, action: api.Fail) -> None:
+        if work := self._tries.get(action.id):
+            self._give_up(work, Failed())
+
+    def _call(self, action: api.Call) -> None:
+        work = self._tries.get(action.id)
+        if work and work.waits:
+            work.since = clock()
+            self.store.call(work.ask.call, action.timeout_ms, work.body)
+
+    def _skip(self, action: api.Skip) -> None:
+        work = self._tries.get(action.id)
+        if work and work.waits:
+            self.store.drop(work.ask.call)
+            self.interpreter.stub(work.ask.call, work.waits)
+            work.waits = 0
+
+    def _keep(self, action: api.Keep) -> None:
+        work = self._tries.get(action.id)
+        if work and work.key is not None:
+            self.repeats.keep(work.id, work.key, clock() + action.for_ms)
+
+    def _reuse(self, action: api.Reuse) -> None:
+        work = self._tries.get(action.id)
+        if work is None or work.answered:
+            return
+        work.since = clock()
+        record = self.repeats.follow(work.leader, work.id)
+        if record is None or record.over:
+            self._end_follower(work, record.result if record else None)
+
+    def _health(self, action: api.Health) -> None:
+        self.healthy = action.good and self.stop_at == float("inf")
+        self.announcer.tell(self.healthy)
+
+    def _say(self, action: api.Say) -> None:
+        self.load = action.value
+
+    def _idle(self, action: api.Idle) -> None:
+        for front in self.fronts:
+            front.close_idle(action.for_ms or self.settings.caller_idle_ms)
+
+    # Alarms: the gauges are asked for a tick ahead, so that they are at hand when the alarm is due
+
+    def _alarm(self, in_ms: float, token: int) -> None:
+        self._alarms += 1
+        due = clock() + in_ms
+        self.loop.wheel.at(due - TICK_MS, lambda: self._ask_gauges(due, token))
+
+    def _ask_gauges(self, due: float, token: int) -> None:
+        tag = self.interpreter.top()
+        self.loop.wheel.at(due, lambda: self._ring(due, token, tag))
+
+    def _ring(self, due: float, token: int, tag: str) -> None:
+        if tag and self.interpreter.tops_tag != tag and clock() < due + GAUGES_WAIT_MS:
+            self.loop.after(TICK_MS, lambda: self._ring(due, token, tag))
+            return
+        self._alarms -= 1
+        self._inbox.append(api.Timer(token, self.interpreter.gauges))
+
+    def _watch(self) -> None:
+        """Guards against a module that fell silent, as after a failed step: it gets a step all the same."""
+        self.loop.after(WATCH_MS, self._watch)
+        if not self._alarms and self._started:
+            self._inbox.append(api.Timer(0, self.interpreter.gauges))
+
+    def _expire(self) -> None:
+        self.loop.after(EXPIRE_MS, self._expire)
+        self.repeats.expire(clock())
+
+    # What the peers tell
+
+    def _on_up(self, banner: interpreter.Banner) -> None:
+        if not self._started:
+            self._started = True  # the module's life begins with the interpreter's: that is what warms up
+            self._inbox.append(api.Timer(0, self.interpreter.gauges))
+            self.announcer.start()
+
+    def _on_notice(self, notice: interpreter.Value | interpreter.Await | interpreter.Refusal) -> None:
+        work = self._calls.get(notice.call)
+        if work is None or not work.running:
+            return
+        if isinstance(notice, interpreter.Await):
+            work.waits, work.body = notice.number, notice.body
+            self._inbox.append(api.Needs(work.id))
+        elif isinstance(notice, interpreter.Refusal):
+            self.loop.warnings.warn("the interpreter refused a command", f"{notice.command} {notice.call}")
+            self._ended(work, api.Outcome.ERROR, None)
+        else:
+            ended = ENDS[notice.end]
+            self._ended(work, ended, notice.result if ended is api.Outcome.OK else None)
+
+    def _ended(self, work: Try, outcome: api.Outcome, result: bytes | None) -> None:
+        """A run is over, and with it whatever it waited for."""
+        if work.waits:
+            self.store.drop(work.ask.call)
+            work.waits = 0
+        work.running = False
+        followers = self.repeats.finish(work.id, result) if work.key is not None else []
+        self._inbox.append(api.Done(work.id, outcome, clock() - work.since))
+        if work.answered:
+            self._close(work)
+        else:
+            self._answer(work, Failed() if result is None else Served(result))
+        self._tell_followers(followers, result)
+
+    def _on_reply(self, reply: store.Reply) -> None:
+        work = self._calls.get(reply.call)
+        if work is None or not work.waits:
+            return
+        if reply.outcome is api.Outcome.OK:
+            work.waits = 0
+            self.interpreter.resolve(reply.call, reply.body)
+        self._inbox.append(api.Called(work.id, reply.outcome, clock() - work.since))
--- /dev/null
+++ b/spindlerelay/settings.py
@@ -0,0 +1,159 @@
+"""The one parser of settings: the simulator's dotted pairs and the nested JSON of a real render node
+come to the same mapping of dotted names to texts, and from there to one ``interface.Settings``."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+
+from spindlerelay import interface as api
+
+
+def pairs_of(text: str) -> dict[str, str]:
+    """The mapping in lines of ``name=value``."""
+    lines = (line.partition("=") for line in text.splitlines() if "=" in line)
+    return {key.strip(): value.strip() for key, _, value in lines}
+
+
+def _plain(value: Any) -> str:
+    if value is None:
+        return ""
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    return str(value).replace(",", "_")
+
+
+def _flat(path: str, value: Any) -> Iterator[tuple[str, str]]:
+    if isinstance(value, dict):
+        for name, inner in value.items():
+            yield from _flat(f"{path}.{name}" if path else str(name), inner)
+    elif isinstance(value, list) and any(isinstance(item, dict) for item in value):
+        yield f"{path}.count", str(len(value))
+        for index, item in enumerate(value):
+            yield from _flat(f"{path}.{index}", item)
+    elif isinstance(value, list):
+        yield path, ",".join(map(_plain, value))
+    else:
+        yield path, _plain(value)
+
+
+def pairs_of_json(tree: dict[str, Any]) -> dict[str, str]:
+    """The mapping in nested JSON, as the simulator would have sent it."""
+    return dict(_flat("", tree))
+
+
+def _flag(text: str) -> bool:
+    return text.lower() in ("true", "yes", "1")
+
+
+def _number(key: str, text: str) -> float:
+    try:
+        value = float(text)
+    except ValueError:
+        raise ValueError(f"setting {key}: {text!r} is not a number") from None
+    if not 0 <= value < float("inf"):
+        raise ValueError(f"setting {key}: {text} makes no sense")
+    return value
+
+
+class _Pairs:
+    """Settings read by key with a neutral value where a key is absent."""
+
+    def __init__(self, values: dict[str, str]) -> None:
+        self.values = values
+
+    def number(self, key: str, absent: float) -> float:
+        """A number that is not negative."""
+        text = self.values.get(key)
+        return absent if text is None or text == "" else _number(key, text)
+
+    def flag(self, key: str) -> bool:
+        return _flag(self.values.get(key, "false"))
+
+    def word(self, key: str, words: dict[str, Any], absent: Any) -> Any:
+        text = self.values.get(key)
+        if text is None or text == "":
+            return absent
+        if text not in words:
+            raise ValueError(f"setting {key}: {text!r} is not known")
+        return words[text]
+
+    def items(self, key: str) -> list[str]:
+        text = self.values.get(key, "")
+        return text.split(",") if text else []
+
+    def at(self, key: str, index: int) -> str:
+        items = self.items(key)
+        return items[index] if index < len(items) else ""
+
+
+_EFFECTS = {"free": api.Effect.SAFE, "guarded": api.Effect.KEYED, "single_shot": api.Effect.UNSAFE}
+_BELOW = {"none": api.Below.NONE, "common": api.Below.SHARED, "next_hop": api.Below.TIER}
+_HALTS = {"none": api.HaltKind.NONE, "drop": api.HaltKind.DROP, "pause": api.HaltKind.PAUSE}
+_SAYS = {"none": api.SayKind.NONE, "min_rank": api.SayKind.LEVEL, "tokens": api.SayKind.CREDIT,
+         "bias": api.SayKind.WEIGHT}  # fmt: skip
+_GAUGES = {"cpu_busy": "cpu", "runnable": "runq", "mem_used": "memory", "sockets": "conns"}
+
+
+def _class(pairs: _Pairs, index: int) -> api.ClassSettings:
+    path = f"classes.{index}"
+    aim = pairs.number(f"{path}.goal-time-ms", 0.0)
+    deadline = pairs.number(f"{path}.deadline-ms", aim)
+    skip_worth = "family-info.class-skip-worth"
+    if deadline <= 0:
+        raise ValueError(f"setting {path}.deadline-ms: a class needs a time")
+    return api.ClassSettings(
+        aim_ms=aim or deadline,
+        deadline_ms=deadline,
+        worth=pairs.number(f"{path}.value", 1.0),
+        late_share=pairs.number(f"{path}.late-share", 0.0),
+        effect=pairs.word(f"{path}.effect", _EFFECTS, api.Effect.SAFE),
+        key_window_ms=pairs.number(f"{path}.key-ttl-ms", 0.0),
+        calls=_flag(pairs.at("family-info.class-calls", index)),
+        skip_worth=_number(skip_worth, pairs.at(skip_worth, index) or "0"),
+        aim_stretch=pairs.number(f"{path}.aim-stretch", 0.0),
+        name=pairs.values.get(f"{path}.name", ""),
+    )
+
+
+def parse(values: dict[str, str]) -> api.Settings:
+    """Settings from the mapping; ValueError names the key that makes no sense."""
+    pairs = _Pairs(values)
+    number = pairs.number
+    cores = int(number("family-info.n-cores", 0))
+    if cores < 1:
+        raise ValueError("setting family-info.n-cores: a server needs at least one core")
+    count = int(number("classes.count", 0))
+    if count < 1:
+        raise ValueError("setting classes.count: at least one class is needed")
+    tenants = range(int(number("tenants.count", 0)))
+    advised = pairs.flag("policy-limits.retry-after")
+    return api.Settings(
+        cores=cores,
+        classes=tuple(_class(pairs, i) for i in range(count)),
+        tenant_names=tuple(pairs.values.get(f"tenants.{i}.name", "") for i in tenants),
+        tenant_quotas_per_s=tuple(number(f"tenants.{i}.quota-per-s", 0.0) for i in tenants),
+        over_share_worth=number("over-share-worth", 1.0),
+        servers=max(1, int(number("servers", 1))),
+        callers=max(1, int(number("family-info.callers", 1))),
+        counted_by_work=pairs.word("counted-by", {"work": True, "request": False}, False),
+        memory_kb=number("family-info.heap-kb", 0.0),
+        run_memory_factor=number("family-info.run-mem-factor", 1.0),
+        key_kb=number("family-info.key-kb", 0.0),
+        fresh_ms=number("family-info.fresh-ms", 0.0),
+        halt=pairs.word("family-info.halt", _HALTS, api.HaltKind.NONE),
+        say=pairs.word("family-info.say", _SAYS, api.SayKind.NONE),
+        caller_idle_ms=number("family-info.caller-idle-ms", 0.0),
+        below=pairs.word("family-info.below", _BELOW, api.Below.NONE),
+        calls_out=number("family-info.calls-out", 0.0),
+        calls_over_ms=number("family-info.calls-over-ms", 0.0),
+        linger_ms=number("family-info.linger-ms", 0.0),
+        cold=pairs.flag("family-info.cold"),
+        cold_share=number("obligations.cold-share", 1.0),
+        warm_up_ms=number("obligations.ramp-time-ms", 0.0),
+        crowd_per_core=number("obligations.fall-multiple", 0.0),
+        drain_grace_ms=number("obligations.drain-grace-ms", 0.0),
+        advice_max_ms=number("policy-limits.max-retry-after-ms", 0.0) if advised else 0.0,
+        tick_ms=number("resolution-ms", 0.0),
+        gauges=tuple(_GAUGES.get(name, name) for name in pairs.items("family-info.meters")),
+    )
--- a/elderpaddle/simhost.py
+++ b/spindlerelay/simhost.py
@@ -1,13 +1,13 @@
-"""Hosts instances of the decision module on the simulator's wire: ``python -m elderpaddle.simhost``."""
+"""Hosts instances of the decision module on the simulator's wire: ``python -m spindlerelay.simhost``."""
 
 from __future__ import annotations
 
 import sys
 from typing import BinaryIO
 
-from elderpaddle import interface as api
-from elderpaddle import wire
-from elderpaddle.brain import Brain
+from spindlerelay import interface as api
+from spindlerelay import settings, wire
+from spindlerelay.brain import Brain
 
 
 def _cause(error: Exception) -> str:
@@ -41,7 +41,7 @@
     def _launch(self, inst: int, event: wire.Launch, records: list[bytes]) -> None:
         self.brains.pop(inst, None)
         try:
-            self.brains[inst] = Brain(wire.parse_settings(event.settings_text), event.seed)
+            self.brains[inst] = Brain(settings.parse(settings.pairs_of(event.settings_text)), event.seed)
         except Exception as error:
             records.append(wire.encode_fault(inst, f"instance {inst} cannot start: {_cause(error)}"))
 
@@ -71,7 +71,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except wire.WireError as error:
-        print(f"elderpaddle: malformed input: {error}", file=sys.stderr)
+        print(f"spindlerelay: malformed input: {error}", file=sys.stderr)
         return 1
     return 0
 
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -4,8 +4,8 @@
 
 from typing import Any, TypeVar
 
-from elderpaddle import interface as api
-from elderpaddle.brain import Brain
+from spindlerelay import interface as api
+from spindlerelay.brain import Brain
 
 A = TypeVar("A")
 PLAIN = api.ClassSettings(aim_ms=2000.0, deadline_ms=6000.0)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -8,11 +8,11 @@
 
 import pytest
 
-from elderpaddle import interface as api
-from elderpaddle.brain import ClassState
+from spindlerelay import interface as api
+from spindlerelay.brain import ClassState
 from tests.driver import KEYED, PLAIN, UNSAFE, Driver, of, settings
 
-SOURCE = Path(__file__).parent.parent / "elderpaddle" / "brain.py"
+SOURCE = Path(__file__).parent.parent / "spindlerelay" / "brain.py"
 
 
 def test_size_and_width_of_the_module() -> None:
@@ -25,8 +25,8 @@
     nodes = list(ast.walk(ast.parse(SOURCE.read_text())))
     names = {n.module for n in nodes if isinstance(n, ast.ImportFrom)}
     plain = {a.name for n in nodes if isinstance(n, ast.Import) for a in n.names}
-    assert names - {"__future__", "collections"} == {"elderpaddle"}
-    assert "from elderpaddle import interface as api" in SOURCE.read_text()
+    assert names - {"__future__", "collections"} == {"spindlerelay"}
+    assert "from spindlerelay import interface as api" in SOURCE.read_text()
     assert plain <= {"heapq", "math", "random"}
 
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
-BRAIN = (ROOT / "elderpaddle" / "brain.py").read_text()
+BRAIN = (ROOT / "spindlerelay" / "brain.py").read_text()
 
 
 def test_log_texts_of_the_on_call_page_are_those_of_the_code() -> None:
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -8,8 +8,8 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from elderpaddle import interface as api
-from elderpaddle.brain import Brain
+from spindlerelay import interface as api
+from spindlerelay.brain import Brain
 from tests import driver
 
 CLASSES = (driver.PLAIN._replace(calls=True), driver.KEYED, driver.UNSAFE._replace(late_share=0.2))
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from elderpaddle import interface as api
-from elderpaddle import simhost, wire
+from spindlerelay import interface as api
+from spindlerelay import settings, simhost, wire
 
 CLOCK = struct.pack("<d", 1000.5)
 PAIRS = (
@@ -102,13 +102,13 @@
 
 
 def test_settings_as_sent() -> None:
-    settings = wire.parse_settings(PAIRS)
-    assert settings.cores == 2
-    assert settings.classes[0].aim_ms == 2000.0
-    assert settings.halt is api.HaltKind.PAUSE
-    assert settings.gauges == ("cpu", "runq")
-    assert settings.tenant_quotas_per_s == (3.0, 0.0)
-    assert settings.below is api.Below.NONE
+    told = settings.parse(settings.pairs_of(PAIRS))
+    assert told.cores == 2
+    assert told.classes[0].aim_ms == 2000.0
+    assert told.halt is api.HaltKind.PAUSE
+    assert told.gauges == ("cpu", "runq")
+    assert told.tenant_quotas_per_s == (3.0, 0.0)
+    assert told.below is api.Below.NONE
 
 
 @pytest.mark.parametrize(
@@ -122,7 +122,17 @@
 )
 def test_settings_without_sense_name_their_key(line: str, key: str) -> None:
     with pytest.raises(ValueError, match=key):
-        wire.parse_settings(PAIRS + line)
+        settings.parse(settings.pairs_of(PAIRS + line))
+
+
+def test_nested_json_comes_to_the_same_settings_as_the_pairs() -> None:
+    tree = {
+        "family-info": {"n-cores": 2, "meters": ["cpu_busy", "runnable"], "halt": "pause"},
+        "classes": [{"deadline-ms": 6000.0, "goal-time-ms": 2000.0, "name": "some_class"}],
+        "tenants": [{"quota-per-s": 3}, {}],
+        "unknown": {"key": 7, "odd": None},
+    }
+    assert settings.parse(settings.pairs_of_json(tree)) == settings.parse(settings.pairs_of(PAIRS))
 
 
 def replies(data: bytes) -> list[tuple[int, int]]:
@@ -173,7 +183,7 @@
 
 
 def simulator(data: bytes) -> subprocess.CompletedProcess[bytes]:
-    command = [sys.executable, "-m", "elderpaddle.simhost"]
+    command = [sys.executable, "-m", "spindlerelay.simhost"]
     return subprocess.run(command, input=data, capture_output=True, check=False)
 
 
@@ -181,7 +191,7 @@
     done = simulator(frame(record(99, b"")))
     assert done.returncode == 1
     assert done.stdout == b""
-    assert done.stderr.decode().strip() == "elderpaddle: malformed input: unknown event code 99"
+    assert done.stderr.decode().strip() == "spindlerelay: malformed input: unknown event code 99"
 
 
 def test_process_ends_at_the_end_of_input() -> None:
