Ask for the end of the replay only after the interpreter's banner

A trace of counts a second showed that on successors no run ever ended and the gauges stayed empty. Ruled out: list and health (the bench listed them ready at once), the module (it did as told by no gauges). At fault: Interpreter._opened wrote TOP together with CONNECT. An interpreter that comes up late drops what comes ahead of its banner, so the link never counted as replayed and every command waited for ever. Now the question follows the banner and is repeated while unanswered.

--- a/spindlerelay/net/interpreter.py
+++ b/spindlerelay/net/interpreter.py
@@ -14,8 +14,10 @@
 from spindlerelay.net import lines
 from spindlerelay.net.lines import LineError
 from spindlerelay.net.loop import Connection, Loop, connect
+from spindlerelay.net.wheel import Timer
 
 RETRY_MS, RETRY_MOST_MS = 20.0, 500.0
+SYNC_MS = 200.0  # between questions for the end of a replay
 ENDS = frozenset({"fine", "fault", "broken_off", "late"})
 
 
@@ -141,6 +143,7 @@
         self._unread: list[Command] = []
         self._synced = False  # the replay on this link is over
         self._sync_tag = ""
+        self._asking: Timer | None = None
         self._links = 0
         self._connect()
 
@@ -175,15 +178,24 @@
         self._decoder = lines.LineDecoder(sized)
         self._synced = False
         self._links += 1
+        self._sync_tag = f"t{self._links}-sync"
         self._connection = connect(self.loop, self.address, self._data, self._closed, self._opened)
 
     def _opened(self) -> None:
         assert self._connection
-        self._sync_tag = f"t{self._links}-sync"
-        self._connection.write(lines.line("CONNECT", self._last) + lines.line("TOP", self._sync_tag))
+        self._connection.write(lines.line("CONNECT", self._last))
+
+    def _sync(self) -> None:
+        """Ask what follows the replay, once the banner is there: an interpreter that comes up late drops what
+        was written to it before. Asked again while unanswered, since all commands wait for it."""
+        if self._connection and not self._synced:
+            self._connection.write(lines.line("TOP", self._sync_tag))
+            self._asking = self.loop.after(SYNC_MS, self._sync)
 
     def _closed(self, opened: bool) -> None:
         self._connection, self._synced = None, False
+        if self._asking:
+            self._asking.cancel()
         if opened:
             self.loop.warnings.warn("interpreter link lost", "runs go on, connecting again")
         self.loop.after(self._backoff.wait(), self._connect)
@@ -215,6 +227,7 @@
     def _banner(self, banner: Banner) -> None:
         logger.info("interpreter up: {} {:.0f} ms ago", banner.state, banner.age_ms)
         self.up = True
+        self._sync()
         self.on_up(banner)
 
     def _numbered(self, notice: Value | Await | Trace) -> None:
@@ -235,7 +248,7 @@
 
     def _tops(self, tops: Tops) -> None:
         self.gauges, self.tops_tag = tops.gauges, tops.tag
-        if tops.tag == self._sync_tag:
+        if tops.tag == self._sync_tag and not self._synced:
             # The replay came before this answer. A run that had been started is not started again by APPLY.
             self._synced = True
             self._backoff.reset()  # not at the banner: a malformed line in the replay comes again and again
