Test the program over real sockets, and end a broken stream without resetting it

Saw, in the first run of the new tests: after bad input the connection was closed while the peer's bytes lay unread, which resets it, and the answers it was still owed could be dropped on the peer's side. At fault: Connection.end closed at once, and the front had stopped reading the deaf connection.

--- a/spindlerelay/net/balancers.py
+++ b/spindlerelay/net/balancers.py
@@ -33,14 +33,13 @@
     def _data(self, data: bytes) -> None:
         self.used = clock()
         if self.deaf:
-            return
+            return  # read and dropped: see Connection.end
         for call in self.decoder.feed(data):
             self._call(call)
         if self.decoder.broken:
             # A stream that lost its framing cannot be trusted again, but what was read is owed an answer.
             self.deaf = True
             self.leaving = self.leaving or self.used
-            self.connection.pause(True)
             self.front.loop.warnings.warn("bad input from a balancer", self.decoder.broken)
             self._end_if_over()
         elif len(self.open) >= MOST_OPEN:
@@ -102,8 +101,8 @@
             return
         elif self.leaving:
             # A request that crossed the goaway would be lost by a close at once.
-            if now - max(self.leaving, self.used) > 2 * CROSSING_MS:
-                self.connection.end()
+            if now - max(self.leaving, self.used) > 2 * CROSSING_MS and not unsent:
+                self.connection.close()
         elif now - self.used >= idle_ms:
             self.go_away()
 
--- a/spindlerelay/net/loop.py
+++ b/spindlerelay/net/loop.py
@@ -142,7 +142,8 @@
             self._remask()
 
     def end(self) -> None:
-        """Close once everything written is sent."""
+        """Say that no more is written, once all is sent; the connection closes when the peer's side ends. To
+        close at once while the peer still writes would reset it, and it might lose what it had not read."""
         self.ending = True
         self.loop.dirty(self)
 
@@ -202,8 +203,8 @@
                 return
             del self.out[:sent]
         if self.ending and not self.out:
-            self.close()
-            return
+            with contextlib.suppress(OSError):
+                self.sock.shutdown(socket.SHUT_WR)
         self._remask()
 
     def _remask(self) -> None:
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,260 @@
+"""The program as a process, spoken to over real sockets by scripted peers: each rule and failure."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.peers import Program
+
+A, B, C = (f"{n:016x}" for n in (0xA1, 0xB2, 0xC3))
+
+
+@pytest.fixture
+def node(tmp_path: Path) -> Iterator[Program]:
+    with Program(tmp_path) as program:
+        program.vm.expect("CONNECT", "0")
+        yield program
+
+
+def test_a_request_runs_calls_the_store_and_is_served_unchanged(node: Program) -> None:
+    balancer, body, result = node.balancer(), bytes(range(256)), b"\r\nVALUE 1\r\n\x00\xff"
+    asked = balancer.ask(A, body=body)
+    assert node.vm.expect("APPLY", A)[2:] == [b"preview", b"256", body]
+    node.vm.note("AWAIT", A, b"SELECT\r\n1")
+    call = node.store.expect("CALL", A)
+    assert 0 < int(call[2]) <= 4500 and call[4] == b"SELECT\r\n1"
+    node.store.send(f"{A} OK", b"row\r\n")
+    assert node.vm.expect("RESOLVE", A)[-1] == b"row\r\n"
+    node.vm.value(A, result)
+    assert balancer.answer(asked) == result
+
+
+def test_health_and_announcements_are_told(node: Program) -> None:
+    balancer = node.balancer()
+    assert balancer.answer(balancer.call("ping", [{}])) is True
+    assert node.announce.recv(100) == b"announce n3 true"
+    assert node.announce.recv(100) == b"announce n3 true"
+
+
+def test_commands_wait_for_the_banner_of_an_interpreter_that_comes_up_late(tmp_path: Path) -> None:
+    """What was written ahead of the banner was dropped, and the link hung for good."""
+    with Program(tmp_path, late=True) as node:
+        node.vm.expect("CONNECT", "0")
+        time.sleep(0.3)
+        node.vm.greet()
+        balancer = node.balancer()
+        asked = balancer.ask(A)
+        node.vm.expect("APPLY", A)
+        node.vm.value(A, b"done")
+        assert balancer.answer(asked) == b"done"
+
+
+def test_lost_a_request_that_nobody_finishes_is_answered_when_due(node: Program) -> None:
+    balancer = node.balancer()
+    asked = balancer.ask(A, "order", ttl="400")
+    node.vm.expect("APPLY", A)
+    began = time.time()
+    assert balancer.answer(asked) == "Failed"
+    assert time.time() - began < 5.0  # not the wait of the test, but the request's own end
+
+
+def test_lost_a_broken_interpreter_link_is_replayed_without_gap_or_double(node: Program) -> None:
+    balancer = node.balancer()
+    first, second = balancer.ask(A), balancer.ask(B)
+    node.vm.expect("APPLY", A), node.vm.expect("APPLY", B)
+    node.vm.value(A, b"one")
+    assert balancer.answer(first) == b"one"
+    node.vm.value(B, b"two", quiet=True)
+    node.vm.cut()
+    assert balancer.answer(second) == b"two"
+    assert node.vm.expect("CONNECT")[1] == b"1"
+    third = balancer.ask(C)
+    node.vm.expect("APPLY", C)  # and nothing that had run is applied again
+    node.vm.value(C, b"three")
+    assert balancer.answer(third) == b"three"
+
+
+def test_duplicate_a_repeat_gets_the_result_of_the_try_that_ran_and_a_failed_one_fails(node: Program) -> None:
+    balancer = node.balancer()
+    first, second = balancer.ask(A, "order"), balancer.ask(B, "order", rep="1")
+    node.vm.expect("APPLY", A)
+    node.vm.value(A, b"receipt")
+    assert [balancer.answer(first), balancer.answer(second)] == [b"receipt", b"receipt"]
+    assert balancer.answer(balancer.ask(C, "order", rep="1")) == b"receipt"
+    other = "f" * 32
+    lost = balancer.ask("00000000000000d4", "order", dedupe=other)
+    node.vm.expect("APPLY", "00000000000000d4")
+    node.vm.value("00000000000000d4", end="fault")
+    assert balancer.answer(lost) == "Failed"
+    assert balancer.answer(balancer.ask("00000000000000e5", "order", dedupe=other, rep="1")) == "Failed"
+    assert node.vm.seen.empty()
+
+
+def test_drain_says_goodbye_answers_everything_and_ends_in_time(node: Program) -> None:
+    balancer = node.balancer()
+    running = balancer.ask(A)
+    node.vm.expect("APPLY", A)
+    node.terminate()
+    assert balancer.read() == [2, "goaway", []]
+    while node.announce.recv(100) != b"announce n3 false":
+        pass
+    assert node.balancer().read() == [2, "goaway", []]
+    node.vm.value(A, b"last")
+    assert balancer.answer(running) == b"last"
+    assert node.process.wait(20) == 0
+    assert "left: everything read is answered" in node.log.read_text()
+
+
+def test_drain_refuses_what_came_past_the_grace(tmp_path: Path) -> None:
+    with Program(tmp_path, stop_ms=9000) as node:
+        node.vm.expect("CONNECT")
+        balancer = node.balancer()
+        held = balancer.ask(A, "order", ttl="8000")
+        node.vm.expect("APPLY", A)
+        node.terminate()
+        assert balancer.read() == [2, "goaway", []]
+        asked = balancer.ask(B, recv=str(int(time.time() * 1000) + 2600))
+        assert balancer.answer(asked) == "Busy"
+        node.vm.value(A, b"ran")
+        assert balancer.answer(held) == b"ran"
+        assert node.vm.seen.empty() and node.process.wait(20) == 0
+
+
+def test_fall_over_runs_stay_under_the_crowd_and_the_rest_is_told_when_to_come_back(node: Program) -> None:
+    balancers = [node.balancer() for _ in range(4)]
+    for index in range(120):
+        balancers[index % 4].ask(f"{index + 1:016x}", ttl="3000")
+    applied, refused = 0, []
+    for balancer in balancers:
+        for _ in range(30):
+            error = balancer.read()[2]
+            assert error and error[0] in ("Busy", "Failed")
+            refused += [error[1]] if error[0] == "Busy" else []
+    while not node.vm.seen.empty():
+        applied += node.vm.seen.get()[0] == b"APPLY"
+    assert 0 < applied <= 8 * 2
+    assert refused and all(int(fields["pushback"]) > 0 for fields in refused if "pushback" in fields)
+
+
+OUTCOMES = [("BUSY", 2), ("VOID", 2), ("ERR", 1), ("LATE", 1)]
+
+
+@pytest.mark.parametrize(("word", "calls"), OUTCOMES)
+def test_a_call_is_made_again_only_where_its_end_proves_that_it_never_ran(
+    node: Program, word: str, calls: int
+) -> None:
+    balancer = node.balancer()
+    asked = balancer.ask(A, "order")
+    node.vm.expect("APPLY", A)
+    node.vm.note("AWAIT", A, b"q")
+    node.store.expect("CALL", A)
+    node.store.send(f"{A} {word}")
+    if calls == 2:
+        node.store.expect("CALL", A)
+        node.store.send(f"{A} OK", b"r")
+        node.vm.expect("RESOLVE", A)
+        node.vm.value(A, b"fine")
+    assert balancer.answer(asked) == (b"fine" if calls == 2 else "Failed")
+
+
+def test_a_store_connection_that_breaks_proves_nothing_and_a_preview_goes_on_without(node: Program) -> None:
+    balancer = node.balancer()
+    asked = balancer.ask(A)
+    node.vm.expect("APPLY", A)
+    node.vm.note("AWAIT", A, b"q")
+    node.store.expect("CALL", A)
+    node.store.cut()
+    assert node.vm.expect("STUB", A)[2] == b"1"
+    node.vm.value(A, b"poorer")
+    assert balancer.answer(asked) == b"poorer"
+
+
+def test_a_command_that_the_interpreter_refuses_ends_its_request_only(node: Program) -> None:
+    balancer = node.balancer()
+    first, second = balancer.ask(A), balancer.ask(B)
+    node.vm.expect("APPLY", A), node.vm.expect("APPLY", B)
+    node.vm.send(f"ERROR APPLY {A}")
+    assert balancer.answer(first) == "Failed"
+    node.vm.value(B, b"fine")
+    assert balancer.answer(second) == b"fine"
+
+
+def test_malformed_lines_of_peers_cost_their_link_only(node: Program) -> None:
+    balancer = node.balancer()
+    first = balancer.ask(A)
+    node.vm.expect("APPLY", A)
+    node.vm.note("AWAIT", A, b"q")
+    node.store.expect("CALL", A)
+    node.store.send("\x00 what is this")
+    node.vm.expect("STUB", A)
+    node.vm.send("VALUE one two")
+    node.vm.expect("CONNECT", "1")
+    node.vm.value(A, b"fine")
+    assert balancer.answer(first) == b"fine"
+
+
+BROKEN = [
+    b"\xc1", b"\x94\x01\x07\xc0\xc0", b"\x93\x00\x01\x02", b"GET /", b"\x94\x00\x01\xa4ping\x91"
+    + b"\xdb\x7f",
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("data", BROKEN)
+def test_an_unreadable_stream_ends_intake_but_what_was_read_is_answered(node: Program, data: bytes) -> None:
+    bad, good = node.balancer(), node.balancer()
+    asked = bad.ask(A)
+    node.vm.expect("APPLY", A)
+    bad.sock.sendall(data)
+    bad.sock.sendall(b"\x00" * 20_000)
+    time.sleep(0.1)
+    node.vm.value(A, b"owed")
+    assert bad.answer(asked) == b"owed"
+    assert bad.read() is None
+    assert good.answer(good.call("ping", [{}])) is True
+    assert node.log.read_text().count("bad input from a balancer") == 1
+
+
+BAD_FIELDS: list[dict[str, str | None]] = [
+    {"call": "xyz"}, {"recv": "-1"}, {"ttl": None}, {"org": "nobody"}, {"heap": "nan"}, {"heap": "0"},
+    {"crit": "1.5"}, {"cls": "order", "dedupe": None}, {"src": "four"}, {"cls": "poster"},
+]  # fmt: skip
+
+
+def test_a_readable_request_with_bad_fields_gets_an_error_and_the_connection_stays(node: Program) -> None:
+    balancer = node.balancer()
+    for index, fields in enumerate(BAD_FIELDS):
+        sent = dict(fields)
+        call, cls = sent.pop("call", f"{index + 1:016x}"), sent.pop("cls", "preview")
+        asked = balancer.ask(str(call), str(cls), b"page", **sent)
+        assert str(balancer.answer(asked)).startswith("BadRequest")
+    assert str(balancer.answer(balancer.call("reboot", []))).startswith("BadRequest")
+    assert balancer.answer(balancer.call("ping", [{}])) is True
+
+
+def test_a_peer_that_does_not_read_neither_stalls_the_others_nor_grows_memory(node: Program) -> None:
+    deaf, good = node.balancer(), node.balancer()
+    deaf.sock.settimeout(0.5)
+    ping = b"\x94\x00\x01\xa4ping\x91\x80" * 4000
+    sent = 0
+    try:
+        while sent < 200 << 20:
+            sent += deaf.sock.send(ping)
+    except TimeoutError:
+        pass
+    assert sent < 100 << 20
+    assert good.answer(good.call("ping", [{}])) is True
+    status = Path(f"/proc/{node.process.pid}/status").read_text()
+    assert int(status.split("VmRSS:")[1].split()[0]) < 100_000
+
+
+def test_a_bad_configuration_ends_with_one_plain_line_and_status_2(tmp_path: Path) -> None:
+    wrong: list[dict[str, Any]] = [{"settings": {"classes": []}}, {"vm": "nowhere"}, {"stop_ms": "soon"}]
+    for config in wrong:
+        program = Program(tmp_path, **config)
+        assert program.process.wait(20) == 2
+        assert len(program.log.read_text().splitlines()) == 1, program.log.read_text()
