--- a/spindlerelay/net/balancers.py
+++ b/spindlerelay/net/balancers.py
@@ -11,7 +11,7 @@
 
 CROSSING_MS = 50.0  # by the protocol: a request may cross a goaway for so long
 SWEEP_MS = 100.0  # between looks for idle connections
-OWN_SOCKETS = 64  # descriptors kept for our own links, log and listener
+OWN_SOCKETS = 32  # descriptors kept for our own links, log and listener
 MOST_OPEN = 32  # requests open on one connection, by the protocol
 STUCK_MS = 15000.0  # an answer that no byte of which was taken for so long: the peer is gone
 BROKEN_MS = 6000.0  # the longest that a connection without intake may wait for its last answers
--- a/spindlerelay/net/msgpackrpc.py
+++ b/spindlerelay/net/msgpackrpc.py
@@ -42,7 +42,7 @@
         self._fed = self._ended = 0
         self._unpacker = msgpack.Unpacker(
             raw=False, max_buffer_size=8 * MAX_FRAME, max_str_len=MAX_FRAME, max_bin_len=MAX_BODY,
-            max_array_len=MAX_ITEMS, max_map_len=MAX_ITEMS, max_ext_len=0,
+            max_array_len=MAX_ITEMS, max_map_len=MAX_ITEMS, max_ext_len=0, read_size=4096,
         )  # fmt: skip
 
     def feed(self, data: bytes) -> list[Call]:
@@ -103,7 +103,8 @@
         raise FieldError("a request needs fields and a body")
     fields, body = params
     recv = float(_matching(fields, "recv", DIGITS))
-    tenant = tenants.get(fields.get("org", "")) if tenants else 0
+    org = fields.get("org", "")
+    tenant = (tenants.get(org) if isinstance(org, str) else None) if tenants else 0
     if tenant is None:
         raise FieldError("bad field org")
     held_kb = _number(fields, "heap", 0.0, 2000.0)
--- a/spindlerelay/net/node.py
+++ b/spindlerelay/net/node.py
@@ -249,8 +249,11 @@
         if work is None or work.answered:
             return
         outcome: Outcome = Refused(action.stay_away_ms, action.last)
-        if work.running or (isinstance(work.key, str) and self.repeats.has_run(work.key)):
-            outcome = Failed()  # 'never ran' would be untrue of the request, and it might be run elsewhere
+        if work.running:
+            outcome = Failed()
+        elif isinstance(work.key, str) and (ran := self.repeats.ran(work.key)):
+            # 'Never ran' would be untrue of the request, and it might be run elsewhere a second time.
+            outcome = Failed() if ran.result is None else Served(ran.result)
         self._give_up(work, outcome)
 
     def _fail(self, action: api.Fail) -> None:
--- a/spindlerelay/net/repeats.py
+++ b/spindlerelay/net/repeats.py
@@ -101,10 +101,10 @@
         if record:
             record.ran, record.bound_until = rid, bound_until
 
-    def has_run(self, key: Key) -> bool:
-        """A try of this request has run here."""
+    def ran(self, key: Key) -> Record | None:
+        """What is known of a request that has run here."""
         record = self._records.get(key)
-        return record is not None and record.ran != 0
+        return record if record and record.ran else None
 
     def follow(self, leader: int, rid: int) -> Record | None:
         """What is known of the leader; while it is at work, the try is told later. None: entry lost."""
--- a/spindlerelay/net/wheel.py
+++ b/spindlerelay/net/wheel.py
@@ -9,6 +9,10 @@
 TICK_MS = 5.0  # ms a bucket: the resolution of the simulator's clock, far under any time limit
 
 
+def _nothing() -> None:
+    """What a cancelled timer does."""
+
+
 class Timer:
     """What to do at a tick; ``cancel`` may be called at any time, also after it went off."""
 
@@ -20,6 +24,7 @@
 
     def cancel(self) -> None:
         self.bucket.pop(self, None)
+        self.action = _nothing  # it may have been taken out already, to go off in this very turn
 
 
 class Wheel:
--- /dev/null
+++ b/tests/test_codecs.py
@@ -0,0 +1,227 @@
+"""The parsers and tables of the network code, by cases."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgpack
+import pytest
+
+from spindlerelay.interface import Outcome
+from spindlerelay.net import announce, interpreter, lines, msgpackrpc, store
+from spindlerelay.net.exchange import Failed, Refused, Served
+from spindlerelay.net.interpreter import Await, Banner, Refusal, Tops, Trace, Value
+from spindlerelay.net.repeats import Repeats
+from spindlerelay.net.wheel import TICK_MS, Wheel
+
+FIELDS = {
+    "call": "9b1f03aa5c7e2d41", "recv": "1764576000123", "src": "4", "org": "acme", "ttl": "480",
+    "heap": "24.5",
+    "crit": "0.6250", "dedupe": "5c0f6e1a2b3d4c59a8b7c6d5e4f30211", "row": "7f3a9c21e0b4d655",
+}  # fmt: skip
+
+
+def frame(*params: Any, msgid: int = 7) -> bytes:
+    packed: bytes = msgpack.packb([0, msgid, "checkout", list(params)])
+    return packed
+
+
+FEEDS = [
+    ([frame(1)], 1, ""),
+    ([frame(1)[:5], frame(1)[5:] + frame(2)], 2, ""),
+    ([msgpack.packb([2, "odd", []]) + frame(1)], 1, ""),
+    ([frame(1) + b"\xc1" + frame(2)], 1, "."),
+    ([frame(b"x" * 2049)], 0, "2049"),
+    ([frame(*[b"x" * 2000] * 9)], 0, "oversized"),
+    ([b"\x94\x00\x01\xdb\x7f\xff\xff\xff", b"x" * 16384], 0, "oversized"),
+    ([msgpack.packb([1, 7, None, True])], 0, "response"),
+    ([msgpack.packb([0, -7, "ping", []])], 0, "message id"),
+    ([msgpack.packb([0, 7, b"ping", []])], 0, "method"),
+    ([msgpack.packb({"a": 1})], 0, "not a message"),
+    ([b"\x91" * 2000], 0, "."),
+]
+
+
+@pytest.mark.parametrize(("chunks", "count", "broken"), FEEDS)
+def test_frames_of_balancers(chunks: list[bytes], count: int, broken: str) -> None:
+    decoder = msgpackrpc.Decoder()
+    assert len([call for chunk in chunks for call in decoder.feed(chunk)]) == count
+    assert bool(decoder.broken) == bool(broken) and broken.strip(".") in decoder.broken
+
+
+def test_fields_of_a_request() -> None:
+    ask = msgpackrpc.parse_ask(2, False, {"globex": 0, "acme": 1}, [FIELDS | {"rep": "1"}, b"\x00\xff"])
+    assert (ask.call, ask.cls, ask.recv, ask.due) == ("9b1f03aa5c7e2d41", 2, 1764576000123.0, 1764576000603.0)
+    assert (ask.tenant, ask.caller, ask.retry, ask.held_kb, ask.rank) == (1, 4, True, 24.5, 0.625)
+    assert (ask.row, ask.dedupe, ask.body) == (0x7F3A9C21E0B4D655, "", b"\x00\xff")
+    keyed = msgpackrpc.parse_ask(0, True, {}, [FIELDS, b""])
+    assert (keyed.dedupe, keyed.row, keyed.retry) == (FIELDS["dedupe"], 0, False)
+
+
+BAD = [
+    ("call", "9b1f"), ("call", "zz1f03aa5c7e2d41"), ("recv", "soon"), ("recv", ""), ("org", "nobody"),
+    ("ttl", "1e9"), ("ttl", "-5"), ("heap", "2000"), ("heap", "0"), ("heap", "inf"), ("crit", "1"),
+    ("dedupe", "5c0f"), ("src", "\u0664"), ("recv", 5), ("org", ["acme"]),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("name", "value"), BAD)
+def test_bad_fields_are_named(name: str, value: Any) -> None:
+    with pytest.raises(msgpackrpc.FieldError, match=name):
+        msgpackrpc.parse_ask(0, True, {"acme": 1}, [FIELDS | {name: value}, b""])
+
+
+@pytest.mark.parametrize("params", [[], [FIELDS], [FIELDS, "text"], [b"", b""], [FIELDS, b"", 3]])
+def test_a_request_needs_fields_and_a_body(params: list[Any]) -> None:
+    with pytest.raises(msgpackrpc.FieldError):
+        msgpackrpc.parse_ask(0, True, {}, params)
+
+
+ANSWERS = [
+    (Served(b"\xff"), None, [1, 7, None, [b"\xff", {}]]),
+    (Served(b""), 0.25, [1, 7, None, [b"", {"load": "0.2500"}]]),
+    (Refused(249.6, True), 0.0, [1, 7, ["Busy", {"load": "0.0000", "pushback": "250", "stop": "1"}], None]),
+    (Refused(0.2), None, [1, 7, ["Busy", {}], None]),
+    (Failed(), None, [1, 7, ["Failed", {}], None]),
+]
+
+
+@pytest.mark.parametrize(("outcome", "load", "expected"), ANSWERS)
+def test_answers(outcome: Served | Refused | Failed, load: float | None, expected: list[Any]) -> None:
+    assert msgpack.unpackb(msgpackrpc.encode_answer(7, outcome, load)) == expected
+
+
+NOTICES = [
+    (b"BANNER starting 12\r\n", Banner("starting", 12.0)),
+    (b"VALUE 3 9b1f fine 18.5 4\r\n\r\n\x00\xff\r\n", Value(3, "9b1f", "fine", 18.5, b"\r\n\x00\xff")),
+    (b"VALUE 4 9b1f broken_off 0 0\r\n\r\n", Value(4, "9b1f", "broken_off", 0.0, b"")),
+    (b"AWAIT 5 9b1f 2\r\nab\r\n", Await(5, "9b1f", b"ab")),
+    (b"TOPS t1-7 0.5 3 0.1 12\r\n", Tops("t1-7", (0.5, 3.0, 0.1, 12.0))),
+    (b"ERROR APPLY 9b1f\r\n", Refusal("APPLY", "9b1f")),
+    (b"TRACE 6 any words at all\r\n", Trace(6)),
+]
+
+
+@pytest.mark.parametrize(("data", "expected"), NOTICES)
+def test_notices_of_the_interpreter_whole_and_byte_by_byte(data: bytes, expected: interpreter.Notice) -> None:
+    decoder = lines.LineDecoder(interpreter.sized)
+    seen = [message for at in range(len(data)) for message in decoder.feed(data[at : at + 1])]
+    assert [interpreter.decode(*message) for message in seen + decoder.feed(data)] == [expected] * 2
+
+
+MALFORMED = [
+    b"HELLO\r\n", b"\r\n", b"VALUE 3 9b1f fine 18.5 -4\r\n", b"VALUE 3 9b1f well 18.5 0\r\n\r\n",
+    b"VALUE x 9b1f fine 18.5 0\r\n\r\n", b"VALUE 3 9b1f fine nan 0\r\n\r\n", b"AWAIT 5 9b1f 2\r\nabcd",
+    b"AWAIT 5 9b1f 99999999\r\n", b"TOPS t 1 two\r\n", b"BANNER up\r\n", b"\xff\xfe\r\n", b"x" * 2000,
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("data", MALFORMED)
+def test_malformed_lines_of_the_interpreter(data: bytes) -> None:
+    with pytest.raises(lines.LineError):
+        for words, block in lines.LineDecoder(interpreter.sized).feed(data):
+            interpreter.decode(words, block)
+
+
+REPLIES = [
+    (b"9b1f OK 3\r\na\r\n\r\n", Outcome.OK, b"a\r\n"), (b"9b1f BUSY\r\n", Outcome.FULL, b""),
+    (b"9b1f ERR\r\n", Outcome.ERROR, b""), (b"9b1f LATE\r\n", Outcome.TIMEOUT, b""),
+    (b"9b1f VOID\r\n", Outcome.MOOT, b""),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("data", "outcome", "body"), REPLIES)
+def test_replies_of_the_store(data: bytes, outcome: Outcome, body: bytes) -> None:
+    (message,) = lines.LineDecoder(store.sized).feed(data)
+    assert store.decode(*message) == store.Reply("9b1f", outcome, body)
+
+
+@pytest.mark.parametrize("data", [b"9b1f\r\n", b"9b1f OK\r\n", b"9b1f FINE\r\n", b"9b1f BUSY 3\r\n", b"\r\n"])
+def test_malformed_replies_of_the_store(data: bytes) -> None:
+    with pytest.raises(lines.LineError):
+        for words, block in lines.LineDecoder(store.sized).feed(data):
+            store.decode(words, block)
+
+
+def test_what_we_write_to_peers() -> None:
+    assert lines.line("APPLY", "9b1f", "order", block=b"a\r\n") == b"APPLY 9b1f order 3\r\na\r\n\r\n"
+    assert lines.line("CALL", "9b1f", 250, block=b"") == b"CALL 9b1f 250 0\r\n\r\n"
+    assert lines.line("STUB", "9b1f", 4) == b"STUB 9b1f 4\r\n"
+    assert announce.encode("n3", False) == b"announce n3 false"
+
+
+def test_timers_go_off_at_their_tick_in_order_and_cancelled_ones_neither_fire_nor_wake() -> None:
+    wheel, seen = Wheel(), list[str]()
+    first = wheel.at(12.0, lambda: seen.append("first"))
+    wheel.at(21.0, lambda: seen.append("third"))
+
+    def go_off() -> None:
+        seen.append("second")
+        third.cancel()
+
+    second = wheel.at(18.0, go_off)
+    third = wheel.at(19.0, lambda: seen.append("cancelled in the same turn"))
+    assert wheel.next_ms() == 3 * TICK_MS
+    first.cancel()
+    assert wheel.next_ms() == 4 * TICK_MS and not wheel.due(19.9)
+    for timer in wheel.due(25.0):
+        timer.action()
+    assert seen == ["second", "third"] and wheel.next_ms() is None
+    second.cancel()
+
+
+def test_repeats_link_within_a_batch_without_keep_and_past_it_only_with() -> None:
+    table = Repeats()
+    assert [table.link("k", 1, 0.0, 0.0), table.link("k", 2, 0.0, 0.0)] == [0, 1]
+    table.end_batch()
+    assert table.link("k", 3, 5.0, 5.0) == 0
+    table.keep(3, "k", 100.0)
+    table.end_batch()
+    assert table.link("k", 4, 99.0, 150.0) == 3  # it reached the machine in time, however late it is read
+    table.forget(3)
+    assert table.link("k", 5, 99.0, 150.0) == 0
+
+
+def test_a_try_that_ran_binds_its_window_whatever_the_module_forgets() -> None:
+    table = Repeats()
+    table.link("k", 1, 0.0, 0.0)
+    assert not table.may_run(1, "k")  # not kept: repeats would not know of it
+    table.keep(1, "k", 1000.0)
+    assert table.may_run(1, "k")
+    table.run(1, 14841.0)
+    table.end_batch()
+    table.forget(1)
+    assert table.finish(1, b"receipt") == []
+    assert table.link("k", 2, 14800.0, 14800.0) == 1
+    assert not table.may_run(2, "k")
+    table.expire(20000.0)
+    record = table.follow(1, 2)
+    assert record and record.result == b"receipt"
+    assert table.link("k", 3, 14842.0, 14842.0) == 0  # past the window it is a new request
+
+
+def test_followers_share_the_end_and_an_evicted_result_never_lets_a_try_run_again() -> None:
+    table = Repeats(result_bytes=10)
+    for rid, key in ((1, "a"), (2, "b")):
+        table.link(key, rid, 0.0, 0.0)
+        table.keep(rid, key, 1000.0)
+        table.run(rid, 1000.0)
+    table.end_batch()
+    table.follow(1, 11)
+    table.follow(1, 12)
+    table.unfollow(1, 11)
+    assert table.finish(1, b"123456") == [12]
+    table.finish(2, b"abcdef")
+    assert table.stored == 6
+    record = table.follow(1, 13)
+    assert record and record.over and record.result is None and not table.may_run(13, "a")
+    table.expire(10_000.0)
+    assert len(table) == 0 and table.stored == 0
+
+
+def test_a_full_table_enters_nothing_more() -> None:
+    table = Repeats(most=1)
+    for rid, key in ((1, "a"), (2, "b")):
+        table.link(key, rid, 0.0, 0.0)
+        table.keep(rid, key, 1000.0)
+    assert table.may_run(1, "a") != table.may_run(2, "b")
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -32,3 +32,13 @@
     pages = [*(ROOT / "docs").glob("*.md"), *(ROOT / "docs" / "incidents").glob("*.md")]
     named = {name for page in pages for name in re.findall(r"`(test_\w+)`", page.read_text())}
     assert named and not {name for name in named if f"def {name}(" not in known}
+
+
+def test_log_lines_of_the_node_are_on_the_on_call_page() -> None:
+    page = (ROOT / "docs" / "on-call.md").read_text()
+    code = "".join(path.read_text() for path in (ROOT / "spindlerelay" / "net").glob("*.py"))
+    kinds = set(re.findall(r'warnings\.warn\(\s*"([^"]+)"', code))
+    logged = re.findall(r'logger\.[a-z()_=A-Z.]+\(\s*"([a-zA-Z ]+:[^"]*)"', code)
+    kinds |= {text.split(":")[0] for text in logged}
+    assert len(kinds) > 15
+    assert not {kind for kind in kinds if f"`{kind}`" not in page}
--- /dev/null
+++ b/tests/test_guards.py
@@ -0,0 +1,167 @@
+"""What the node guarantees whatever the module does, with a scripted module and recording peers."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from spindlerelay import interface as api
+from spindlerelay.net.exchange import Ask, Failed, Outcome, Refused, Served
+from spindlerelay.net.interpreter import Await, Banner, Refusal, Value
+from spindlerelay.net.loop import Loop, clock
+from spindlerelay.net.node import Node
+from spindlerelay.net.store import Reply
+from tests.driver import KEYED, PLAIN, settings
+
+A, B, C = "a" * 16, "b" * 16, "c" * 16
+
+
+class Scripted:
+    """A module that does as it is told."""
+
+    def __init__(self) -> None:
+        self.seen: list[api.Event] = []
+        self.todo: list[Any] = []
+
+    def step(self, now_ms: float, events: list[api.Event]) -> list[api.Action]:
+        self.seen += events
+        actions, self.todo = self.todo, []
+        if None in actions:
+            raise ValueError("scripted fault")
+        return actions
+
+
+class Recorder:
+    """Stands for every peer and for the front: writes down each call as a tuple."""
+
+    gauges, tops_tag = (0.5, 1.0), ""
+
+    def __init__(self) -> None:
+        self.done: list[tuple[Any, ...]] = []
+
+    def __getattr__(self, name: str) -> Any:
+        return lambda *args: self.done.append((name, *args))
+
+
+class Bench:
+    def __init__(self) -> None:
+        self.loop, self.module, self.peers = Loop(), Scripted(), Recorder()
+        self.answers: list[tuple[str, Outcome]] = []
+        self.node = Node(self.loop, settings(PLAIN._replace(name="page"), KEYED._replace(name="order")),
+                         self.module)  # fmt: skip
+        self.node.interpreter = self.node.store = self.node.announcer = self.peers  # type: ignore[assignment]
+        self.node._on_up(Banner("running", 0.0))
+
+    def answer(self, ask: Ask, outcome: Outcome) -> None:
+        self.answers.append((ask.call, outcome))
+
+    def reachable(self, ask: Ask) -> bool:
+        return True
+
+    def take(self, call: str, cls: int = 0, ago: float = 0.0, ttl: float = 60_000.0) -> int:
+        recv = clock() - ago
+        dedupe = "d" * 32 if cls else ""
+        self.node.take(self, Ask(call, cls, recv, recv + ttl, b"body", dedupe=dedupe))  # type: ignore[arg-type]
+        return self.node._next_id - 1
+
+    def do(self, *actions: Any) -> None:
+        self.module.todo = list(actions)
+        self.node._inbox.append(api.Timer(0))
+        self.node.settle()
+
+    def done(self, verb: str) -> list[tuple[Any, ...]]:
+        return [entry for entry in self.peers.done if entry[0] == verb]
+
+
+@pytest.fixture
+def bench() -> Bench:
+    return Bench()
+
+
+def test_a_request_gets_one_answer_however_often_the_module_and_the_interpreter_speak(bench: Bench) -> None:
+    rid = bench.take(A)
+    bench.do(api.Run(rid), api.Run(rid), api.Fail(rid), api.Fail(rid), api.Refuse(rid))
+    bench.node._on_notice(Value(1, A, "fine", 5.0, b"late"))
+    bench.node._on_notice(Value(2, A, "fine", 5.0, b"again"))
+    assert bench.answers == [(A, Failed())]
+    assert len(bench.done("apply")) == 1
+
+
+def test_a_request_that_the_module_forgets_is_failed_when_due_and_not_run_after(bench: Bench) -> None:
+    rid = bench.take(A, ttl=10.0)
+    while not bench.answers:
+        bench.loop.turn(bench.node.settle)
+    assert bench.answers == [(A, Failed("Late"))]
+    bench.do(api.Run(rid))
+    assert api.Gone(rid) in bench.module.seen and not bench.done("apply")
+
+
+def test_a_fault_in_the_module_costs_a_step_and_no_answer(bench: Bench) -> None:
+    rid = bench.take(A, ttl=30.0)
+    bench.do(None)
+    other = bench.take(B)
+    bench.do("not an action", api.Run(other))
+    bench.node._on_notice(Value(1, B, "fine", 5.0, b"r"))
+    while len(bench.answers) < 2:
+        bench.loop.turn(bench.node.settle)
+    assert rid and sorted(bench.answers) == [(A, Failed("Late")), (B, Served(b"r"))]
+
+
+def test_a_keyed_try_never_runs_twice_nor_without_its_entry(bench: Bench) -> None:
+    first, second = bench.take(A, 1), bench.take(B, 1)
+    bench.do(api.Keep(first, 9000.0), api.Run(first), api.Run(second))
+    assert [entry[1] for entry in bench.done("apply")] == [A]
+    assert bench.answers == [(B, Failed())]  # not 'never ran': its request has begun
+    bench.do(api.Forget(first))
+    third = bench.take(C, 1)
+    bench.do(api.Keep(third, 9000.0), api.Run(third))
+    assert len(bench.done("apply")) == 1
+
+
+def test_a_request_that_has_run_is_not_turned_away_but_served_from_its_result(bench: Bench) -> None:
+    first = bench.take(A, 1)
+    bench.do(api.Keep(first, 9000.0), api.Run(first))
+    bench.node._on_notice(Value(1, A, "fine", 5.0, b"receipt"))
+    second = bench.take(B, 1)
+    bench.do(api.Refuse(second, 100.0))
+    assert bench.answers == [(A, Served(b"receipt")), (B, Served(b"receipt"))]
+
+
+def test_nothing_that_arrived_past_the_grace_is_run(bench: Bench) -> None:
+    bench.node.drain(9000.0)
+    late, early = bench.take(A, ago=-2100.0), bench.take(B, ago=-1900.0)
+    bench.do(api.Run(late), api.Run(early))
+    assert bench.answers == [(A, Refused())]
+    assert [entry[1] for entry in bench.done("apply")] == [B]
+    assert ("tell", False) in bench.peers.done and not bench.node.healthy
+
+
+def test_followers_of_a_leader_that_is_dropped_unrun_fail_with_it(bench: Bench) -> None:
+    first, second = bench.take(A, 1), bench.take(B, 1)
+    bench.do(api.Keep(first, 9000.0), api.Reuse(second), api.Refuse(first, 50.0, True), api.Forget(first))
+    assert bench.answers == [(B, Failed()), (A, Refused(50.0, True))]
+    bench.do()
+    assert api.Done(second, api.Outcome.ERROR) in [
+        event._replace(took_ms=0.0) for event in bench.module.seen if isinstance(event, api.Done)
+    ]
+
+
+def test_a_call_is_made_resolved_and_given_up_with_its_request(bench: Bench) -> None:
+    rid, other = bench.take(A), bench.take(B)
+    bench.do(api.Run(rid), api.Run(other))
+    bench.node._on_notice(Await(1, A, b"q"))
+    bench.node._on_notice(Await(2, B, b"q"))
+    bench.do(api.Call(rid, 250.0), api.Call(other, 250.0), api.Fail(other))
+    assert bench.done("call") == [("call", A, 250.0, b"q"), ("call", B, 250.0, b"q")]
+    assert ("drop", B) in bench.peers.done
+    bench.node._on_reply(Reply(A, api.Outcome.OK, b"r"))
+    bench.node._on_reply(Reply(B, api.Outcome.OK, b"r"))
+    assert bench.done("resolve") == [("resolve", A, b"r")]
+
+
+def test_a_refused_command_ends_its_request(bench: Bench) -> None:
+    rid = bench.take(A)
+    bench.do(api.Run(rid))
+    bench.node._on_notice(Refusal("APPLY", A))
+    assert bench.answers == [(A, Failed())]
