--- a/spindlerelay/net/node.py
+++ b/spindlerelay/net/node.py
@@ -42,7 +42,8 @@
     """One request from its reading until it is answered and its run is over."""
 
     __slots__ = (
-        "id", "ask", "front", "guard", "answered", "running", "leader", "key", "waits", "body", "since", "read",
+        "id", "ask", "front", "guard", "answered", "running", "leader", "key", "waits", "body", "since",
+        "read",
     )  # fmt: skip
 
     def __init__(self, rid: int, ask: Ask, front: Front) -> None:
