Leave in two steps: stop listening, then answer what still came in

Saw, reading Node._leave: the listening socket was closed and the loop ended in the same breath, so a request written just before on a connection that the machine had accepted would be reset unanswered. Now the socket closes 0.4 s before the stop at the latest, or after 0.2 s of quiet past the grace, and the end waits for a second quiet time. Flushing and settling are guarded like reading, so that no fault in one connection ends the program. A keyed try for which the table has no room is turned away, as it never ran.

--- a/spindlerelay/net/loop.py
+++ b/spindlerelay/net/loop.py
@@ -87,24 +87,28 @@
         wait = None if due is None else max(0.0, due - clock()) / 1000.0
         for key, mask in self._selector.select(wait):
             handler: Ready = key.data
-            try:
-                handler.ready(mask)
-            except Exception as error:  # nothing that a peer sends may end the program
-                logger.opt(exception=True).error("a connection failed in the program: {!r}", error)
-                handler.broken()
+            if not self._survive(lambda handler=handler, mask=mask: handler.ready(mask)):  # type: ignore[misc]
+                self._survive(handler.broken)
         for timer in self.wheel.due(clock()):
-            try:
-                timer.action()
-            except Exception as error:  # nor may a timer
-                logger.opt(exception=True).error("a timer failed in the program: {!r}", error)
-        settle()
+            self._survive(timer.action)
+        self._survive(settle)
         self.flush()
 
+    def _survive(self, action: Callable[[], None]) -> bool:
+        """Nothing that a peer sends, nor a timer, may end the program."""
+        try:
+            action()
+        except Exception as error:
+            logger.opt(exception=True).error("a fault in the program: {!r}", error)
+            return False
+        return True
+
     def flush(self) -> None:
         while self._dirty:
             batch, self._dirty = self._dirty, {}
             for connection in batch:
-                connection.flush()
+                if not self._survive(connection.flush):
+                    self._survive(connection.broken)
 
 
 class Connection:
--- a/spindlerelay/net/node.py
+++ b/spindlerelay/net/node.py
@@ -22,7 +22,8 @@
 WATCH_MS = 250.0  # a module that asks for no alarm is woken all the same
 EXPIRE_MS = 1000.0  # between looks at the table of repeats
 LEAVE_MS = 150.0  # of the time until the process is stopped that is kept for the last answers to leave
-QUIET_MS = 300.0  # with nothing open past the drain's grace, after which there is no reason to stay
+SHUT_MS = 400.0  # of that time that is kept for what came in just before the listening socket closed
+QUIET_MS = 200.0  # with nothing open, after which nothing more is under way: four times a goaway's crossing
 
 ENDS = {
     "fine": api.Outcome.OK,
@@ -78,6 +79,7 @@
         self._alarms = 0
         self._started = False
         self._quiet_since = 0.0
+        self._shut = False
         self._carry: dict[type, Callable[[Any], None]] = {
             api.Run: self._run, api.Refuse: self._refuse, api.Fail: self._fail, api.Call: self._call,
             api.Skip: self._skip, api.Keep: self._keep, api.Forget: lambda a: self.repeats.forget(a.id),
@@ -115,20 +117,24 @@
         self._leave()
 
     def _leave(self) -> None:
-        """End once nothing is open and nothing more may be run, or at the last moment."""
+        """Close the listening socket once nothing is open and nothing more may be run, or at the last moment.
+        End only when what came in until then is answered, too: to end at once would reset a connection
+        whose request was just written, and lose it."""
         now = clock()
         open_tries = any(not work.answered for work in self._tries.values())
         if open_tries or not all(front.quiet() for front in self.fronts):
             self._quiet_since = now
         quiet = now > self.last_run and now - self._quiet_since > QUIET_MS
-        if quiet or now >= self.stop_at - LEAVE_MS / 2:
-            for front in self.fronts:
-                front.stop()
+        if self._shut and (quiet or now >= self.stop_at - LEAVE_MS / 2):
             self._answer_all()
             self.loop.running = False
             logger.info("left: everything read is answered")
-        else:
-            self.loop.after(4 * TICK_MS, self._leave)
+            return
+        if not self._shut and (quiet or now >= self.stop_at - SHUT_MS):
+            self._shut, self._quiet_since = True, now
+            for front in self.fronts:
+                front.stop()
+        self.loop.after(2 * TICK_MS, self._leave)
 
     def _answer_all(self) -> None:
         for work in list(self._tries.values()):
@@ -241,7 +247,8 @@
             # Guards two rules against the module: no second run of a keyed request, none past the grace.
             why = "past the grace of the notice to leave" if late else "entry of a keyed request lost"
             self.loop.warnings.warn("run refused", why)
-            self._give_up(work, Refused() if late else Failed())
+            begun = keyed and work.key is not None and self.repeats.ran(work.key)
+            self._give_up(work, Failed() if begun else Refused())
             self._inbox.append(api.Done(work.id, api.Outcome.MOOT))
             return
         if keyed:
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -160,6 +160,23 @@
     assert bench.done("resolve") == [("resolve", A, b"r")]
 
 
+def test_a_keyed_try_that_found_no_room_in_the_table_is_turned_away_unrun(bench: Bench) -> None:
+    bench.node.repeats.most = 0
+    rid = bench.take(A, 1)
+    bench.do(api.Keep(rid, 9000.0), api.Run(rid))
+    assert bench.answers == [(A, Refused())] and not bench.done("apply")
+
+
+def test_nothing_raises_through_the_loop(bench: Bench) -> None:
+    def fault() -> None:
+        raise KeyError("scripted fault")
+
+    bench.loop.after(0.0, fault)
+    bench.loop.after(5.0, lambda: setattr(bench.loop, "running", False))
+    bench.loop.run(fault)
+    assert not bench.loop.running
+
+
 def test_a_refused_command_ends_its_request(bench: Bench) -> None:
     rid = bench.take(A)
     bench.do(api.Run(rid))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -153,6 +153,24 @@
         assert node.vm.seen.empty() and node.process.wait(20) == 0
 
 
+def test_drain_answers_whatever_still_got_a_connection(node: Program) -> None:
+    """Balancers learn late: the end must not reset a connection whose request was just written."""
+    node.terminate()
+    answered = 0
+    while True:
+        try:
+            balancer = node.balancer()
+        except ConnectionRefusedError:
+            break
+        balancer.ask(f"{answered + 1:016x}", recv=str(int(time.time() * 1000) + 4000))
+        while (message := balancer.read()) == [2, "goaway", []]:
+            pass
+        assert message and message[2][0] == "Busy"
+        answered += 1
+        time.sleep(0.02)
+    assert answered > 10 and node.process.wait(20) == 0
+
+
 def test_fall_over_runs_stay_under_the_crowd_and_the_rest_is_told_when_to_come_back(node: Program) -> None:
     balancers = [node.balancer() for _ in range(4)]
     for index in range(120):
