Handle SIGHUP: links move to new addresses; spread store calls over channels

Checked: 129 is SIGHUP with the default action; __main__.Signals set handlers for SIGTERM and SIGINT only. The store had one Connection (store.py), and LineDecoder.feed dropped good replies read ahead of a bad one. Change: SIGHUP is blocked from the first line on until its handler stands, the file is read whole, Interpreter, Store and Announcer have move(). Stale closes of an interpreter link are known by its number, a silent one is made again. Up to 16 channels to the store, one call each where possible; spoilt or late ones are retired. Reports every 250 ms, changes three times, as a quarter is lost.

--- a/spindlerelay/__main__.py
+++ b/spindlerelay/__main__.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
+import signal
+
+# A SIGHUP that comes before there is a handler must not end the process: it waits until there is one.
+signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+
+# ruff: noqa: E402
 import contextlib
 import gc
 import os
 import selectors
-import signal
 import socket
 import sys
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 import ujson
@@ -83,40 +89,71 @@
         raise ConfigError(f"{path}: {error}") from None
 
 
+def shown(value: Any) -> str:
+    return "{}:{}".format(*value) if isinstance(value, tuple) else str(value)
+
+
 class Signals:
-    """SIGTERM and SIGINT as a readable descriptor of the loop."""
+    """Signals as a readable descriptor of the loop: each has a handler that is called there."""
 
-    def __init__(self, loop: Loop, node: Node, stop_ms: float) -> None:
-        self.node, self.stop_ms = node, stop_ms
-        self.sock, waker = socket.socketpair()
+    def __init__(self, loop: Loop, handlers: dict[int, Callable[[], None]]) -> None:
+        self.handlers = handlers
+        self.sock, self.waker = socket.socketpair()
         self.sock.setblocking(False)
-        waker.setblocking(False)
-        self.waker = waker
-        signal.set_wakeup_fd(waker.fileno(), warn_on_full_buffer=False)
-        for number in (signal.SIGTERM, signal.SIGINT):
+        self.waker.setblocking(False)
+        signal.set_wakeup_fd(self.waker.fileno(), warn_on_full_buffer=False)
+        for number in handlers:
             signal.signal(number, lambda *_: None)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         loop.watch(self.sock, selectors.EVENT_READ, self)
 
     def ready(self, mask: int) -> None:
-        self.sock.recv(64)
-        self.node.drain(self.stop_ms)
+        for number in sorted(set(self.sock.recv(64))):
+            self.handlers[number]()
 
     def broken(self) -> None:
         """The descriptor is the process's own: there is nothing to close."""
 
 
-def serve(config: Config) -> None:
-    """Run until the notice to leave has been carried out."""
-    loop = Loop()
-    node = Node(loop, config.settings, Brain(config.settings, config.seed))
-    node.start(config.vm, config.store, config.announce, config.name)
-    node.add_front(Balancers(loop, config.listen, config.settings, config.sockets, node))
-    Signals(loop, node, config.stop_ms)
-    logger.info("{} listens on {}:{}", config.name, *config.listen)
-    gc.collect()
-    gc.freeze()  # what is loaded by now stays: collections need not walk it
-    loop.run(node.settle)
-    loop.flush()
+class Service:
+    """The node under a configuration that may be replaced while it runs."""
+
+    def __init__(self, config: Config) -> None:
+        self.config = config
+        self.loop = Loop()
+        self.node = Node(self.loop, config.settings, Brain(config.settings, config.seed))
+        self.node.start(config.vm, config.store, config.announce, config.name)
+        self.node.add_front(Balancers(self.loop, config.listen, config.settings, config.sockets, self.node))
+        handlers: dict[int, Callable[[], None]] = {
+            signal.SIGTERM: self._leave, signal.SIGINT: self._leave, signal.SIGHUP: self._reread,
+        }  # fmt: skip
+        Signals(self.loop, handlers)
+
+    def _leave(self) -> None:
+        self.node.drain(self.config.stop_ms)
+
+    def _reread(self) -> None:
+        """SIGHUP: the file is read whole, and if it is wrong nothing changes."""
+        try:
+            new = read_config(dict(os.environ))
+        except ConfigError as error:
+            logger.error("configuration not taken, the old one stays: {}", error)
+            return
+        old, moved = self.config, {"vm", "store", "announce", "stop_ms"}
+        changed = [key for key in Config._fields if getattr(new, key) != getattr(old, key)]
+        self.config = old._replace(**{key: getattr(new, key) for key in moved})
+        self.node.move(new.vm, new.store, new.announce)
+        told = [f"{key} is {shown(getattr(new, key))}" if key in moved else f"{key} needs a restart"
+                for key in changed]  # fmt: skip
+        logger.info("configuration read again: {}", ", ".join(told) or "nothing has changed")
+
+    def run(self) -> None:
+        """Until the notice to leave has been carried out."""
+        logger.info("{} listens on {}:{}", self.config.name, *self.config.listen)
+        gc.collect()
+        gc.freeze()  # what is loaded by now stays: collections need not walk it
+        self.loop.run(self.node.settle)
+        self.loop.flush()
 
 
 def main() -> int:
@@ -125,8 +162,7 @@
     logger.add(sys.stderr, format="{time:YYYY-MM-DD HH:mm:ss.SSS} {level} {message}", level="INFO",
                backtrace=False, diagnose=False)  # fmt: skip
     try:
-        config = read_config(dict(os.environ))
-        serve(config)
+        Service(read_config(dict(os.environ))).run()
     except ConfigError as error:
         print(f"spindlerelay: {error}", file=sys.stderr)
         return 2
--- a/spindlerelay/net/announce.py
+++ b/spindlerelay/net/announce.py
@@ -7,7 +7,8 @@
 
 from spindlerelay.net.loop import Loop
 
-EVERY_MS = 750.0  # an entry lapses 3 s after its last report: three may get lost
+EVERY_MS = 250.0  # an entry lapses 3 s after its last report: eleven in a row would have to get lost
+AGAIN_MS = 20.0  # a change is told again after so long, and once more: any report may get lost
 
 
 def encode(name: str, accepting: bool) -> bytes:
@@ -31,8 +32,17 @@
     def tell(self, accepting: bool) -> None:
         if accepting != self.accepting:
             self.accepting = accepting
-            if self.started:
-                self._report()
+            self._tell_now()
+
+    def move(self, address: tuple[str, int]) -> None:
+        self.address = address
+        self._tell_now()
+
+    def _tell_now(self) -> None:
+        if self.started:
+            self._report()
+            self.loop.after(AGAIN_MS, self._report)
+            self.loop.after(2 * AGAIN_MS, self._report)
 
     def _again(self) -> None:
         self.loop.after(EVERY_MS, self._again)
--- a/spindlerelay/net/interpreter.py
+++ b/spindlerelay/net/interpreter.py
@@ -13,11 +13,13 @@
 
 from spindlerelay.net import lines
 from spindlerelay.net.lines import LineError
-from spindlerelay.net.loop import Connection, Loop, connect
+from spindlerelay.net.loop import Connection, Loop, clock, connect
 from spindlerelay.net.wheel import Timer
 
 RETRY_MS, RETRY_MOST_MS = 20.0, 500.0
 SYNC_MS = 200.0  # between questions for the end of a replay
+SILENT_MS = 1500.0  # without a word for so long a link is dead: gauges are asked for several times a second
+LATE_MS = 10000.0  # the same before the first banner, which an interpreter that starts late holds back
 ENDS = frozenset({"fine", "fault", "broken_off", "late"})
 
 
@@ -117,7 +119,6 @@
     """A command about a request, kept until it is known to have been read."""
 
     seq: int
-    call: str
     data: bytes
 
 
@@ -140,11 +141,20 @@
         self._backoff = lines.Backoff(RETRY_MS, RETRY_MOST_MS)
         self._last = 0  # number of the last notice that was read
         self._seq = 0
-        self._unread: list[Command] = []
+        self._unread: dict[str, list[Command]] = {}  # by request: only there does their order matter
         self._synced = False  # the replay on this link is over
         self._sync_tag = ""
         self._asking: Timer | None = None
         self._links = 0
+        self._heard = 0.0
+        self._dialling: Timer | None = None
+        self._connect()
+        loop.after(SILENT_MS / 4, self._watch)
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Go on at another address: notices and commands are taken up there as after a break."""
+        self.address = address
+        self._backoff.reset()
         self._connect()
 
     def apply(self, call: str, cls: str, body: bytes) -> None:
@@ -170,16 +180,34 @@
 
     def _send(self, call: str, data: bytes) -> None:
         self._seq += 1
-        self._unread.append(Command(self._seq, call, data))
+        self._unread.setdefault(call, []).append(Command(self._seq, data))
         if self._synced and self._connection:
             self._connection.write(data)
 
     def _connect(self) -> None:
+        """A new link in place of whatever there was; what the old one calls back is known by its number."""
+        self._links += 1
+        link, old = self._links, self._connection
+        if self._dialling:
+            self._dialling.cancel()
+        if self._asking:
+            self._asking.cancel()
         self._decoder = lines.LineDecoder(sized)
         self._synced = False
-        self._links += 1
-        self._sync_tag = f"t{self._links}-sync"
-        self._connection = connect(self.loop, self.address, self._data, self._closed, self._opened)
+        self._sync_tag = f"t{link}-sync"
+        self._heard = clock()
+        self._connection = connect(
+            self.loop, self.address, self._data, lambda opened: self._closed(link, opened), self._opened
+        )
+        if old:
+            old.close()
+
+    def _watch(self) -> None:
+        """Guards against a link that stands and says nothing: it is made again."""
+        self.loop.after(SILENT_MS / 4, self._watch)
+        if self._connection and clock() - self._heard > (SILENT_MS if self.up else LATE_MS):
+            self.loop.warnings.warn("interpreter link silent", "connecting again")
+            self._connect()
 
     def _opened(self) -> None:
         assert self._connection
@@ -192,15 +220,18 @@
             self._connection.write(lines.line("TOP", self._sync_tag))
             self._asking = self.loop.after(SYNC_MS, self._sync)
 
-    def _closed(self, opened: bool) -> None:
+    def _closed(self, link: int, opened: bool) -> None:
+        if link != self._links:
+            return
         self._connection, self._synced = None, False
         if self._asking:
             self._asking.cancel()
         if opened:
             self.loop.warnings.warn("interpreter link lost", "runs go on, connecting again")
-        self.loop.after(self._backoff.wait(), self._connect)
+        self._dialling = self.loop.after(self._backoff.wait(), self._connect)
 
     def _data(self, data: bytes) -> None:
+        self._heard = clock()
         try:
             for words, block in self._decoder.feed(data):
                 self._take(decode(words, block))
@@ -243,8 +274,7 @@
 
     def _settled(self, call: str) -> None:
         """A notice about a request proves that the commands about it were read, or are void."""
-        if self._unread:
-            self._unread = [command for command in self._unread if command.call != call]
+        self._unread.pop(call, None)
 
     def _tops(self, tops: Tops) -> None:
         self.gauges, self.tops_tag = tops.gauges, tops.tag
@@ -252,10 +282,13 @@
             # The replay came before this answer. A run that had been started is not started again by APPLY.
             self._synced = True
             self._backoff.reset()  # not at the banner: a malformed line in the replay comes again and again
-            for command in self._unread:
-                if self._connection:
-                    self._connection.write(command.data)
+            for commands in self._unread.values():
+                for command in commands:
+                    if self._connection:
+                        self._connection.write(command.data)
             return
         link, _, seq = tops.tag.partition("-")
         if link == f"t{self._links}" and seq.isdigit() and self._unread:
-            self._unread = [command for command in self._unread if command.seq > int(seq)]
+            read = int(seq)
+            left = {call: [c for c in sent if c.seq > read] for call, sent in self._unread.items()}
+            self._unread = {call: sent for call, sent in left.items() if sent}
--- a/spindlerelay/net/lines.py
+++ b/spindlerelay/net/lines.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 MAX_LINE = 1024  # bytes, CR LF included; honest lines are far shorter
-MAX_BLOCK = 1 << 20  # bytes that may follow a line: results hold 4 KiB, bodies 2 KiB
+MAX_BLOCK = 1 << 16  # bytes that may follow a line: results hold 4 KiB, bodies 2 KiB
 
 
 class LineError(Exception):
@@ -29,14 +29,17 @@
         self._words: list[str] | None = None
         self._size = 0
 
-    def feed(self, data: bytes) -> list[tuple[list[str], bytes]]:
-        """The messages that are complete now. LineError where the stream is malformed; then the messages
-        before the error are lost with it, and the link must be dropped."""
+    @property
+    def halfway(self) -> bool:
+        """A message has begun and is not complete."""
+        return bool(self._buffer) or self._words is not None
+
+    def feed(self, data: bytes) -> Iterator[tuple[list[str], bytes]]:
+        """The messages that are complete now, one by one: those ahead of a malformed one still count. At that
+        one it raises LineError, and the link must be dropped."""
         self._buffer += data
-        seen: list[tuple[list[str], bytes]] = []
         while (message := self._next()) is not None:
-            seen.append(message)
-        return seen
+            yield message
 
     def _next(self) -> tuple[list[str], bytes] | None:
         if self._words is None:
--- a/spindlerelay/net/node.py
+++ b/spindlerelay/net/node.py
@@ -101,6 +101,17 @@
         self.loop.after(WATCH_MS, self._watch)
         self.loop.after(EXPIRE_MS, self._expire)
 
+    def move(
+        self, vm: tuple[str, int], store_address: tuple[str, int], announce: tuple[str, int]
+    ) -> None:
+        """The peers have new addresses; requests, runs and results stay as they are."""
+        if vm != self.interpreter.address:
+            self.interpreter.move(vm)
+        if store_address != self.store.address:
+            self.store.move(store_address)
+        if announce != self.announcer.address:
+            self.announcer.move(announce)
+
     def drain(self, left_ms: float) -> None:
         """The notice to leave: tell the module, the list and the balancers, and end when all is answered."""
         if self.stop_at < float("inf"):
--- a/spindlerelay/net/store.py
+++ b/spindlerelay/net/store.py
@@ -1,10 +1,12 @@
-"""The store that all render nodes share: codec of its replies, and the one connection that carries our calls.
+"""The store that all render nodes share: codec of its replies, and the few connections that carry our calls.
 
 Each call comes to the outcome that its end proves. Only a refused connection, BUSY and VOID prove that a call
-never ran; a connection that breaks after a call was written proves nothing."""
+never ran; a connection that breaks after a call was written proves nothing. Calls are spread over channels,
+so that a spoilt reply costs few others. A channel that has shown itself spoilt carries nothing new."""
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -14,7 +16,11 @@
 from spindlerelay.net.loop import Connection, Loop, clock, connect
 from spindlerelay.net.wheel import Timer
 
-IDLE_MS = 8000.0  # we close first: the store closes at 10 s, and that could cross a call
+MOST_CHANNELS = 16  # connections at once: more than the calls that a node usually has in hand
+IDLE_MS = 1000.0  # we close first: the store closes at 10 s, and what lay long may have been forgotten
+SWEEP_MS = 125.0  # between looks for idle channels and for replies that stopped half way
+STALL_MS = 500.0  # a reply that was begun and goes no further for so long is spoilt
+RECENT = 64  # ids a channel remembers: a second copy of a reply follows the first closely
 REFUSED_MS, REFUSED_MOST_MS = 20.0, 320.0
 ENDS = {
     "OK": Outcome.OK,
@@ -45,9 +51,83 @@
 class Pending(NamedTuple):
     """A call that has no outcome yet."""
 
-    written: bool
     timer: Timer
-    data: bytes
+    channel: Channel
+
+
+class Channel:
+    """One connection, from before it is opened. All calls on it share its end."""
+
+    def __init__(self, store: Store) -> None:
+        self.store = store
+        self.calls: dict[str, bytes] = {}  # and what is to be written for each
+        self.recent: deque[str] = deque(maxlen=RECENT)
+        self.up = self.retired = False
+        self.used = clock()
+        self._decoder = lines.LineDecoder(sized)
+        self._connection: Connection | None = None
+
+    def call(self, call: str, data: bytes) -> None:
+        self.calls[call] = data
+        self.recent.append(call)
+        self.used = clock()
+        if self.up and self._connection:
+            self._connection.write(data)
+
+    def drop(self, call: str) -> None:
+        if self.calls.pop(call, None) and self.up and self._connection:
+            self._connection.write(lines.line("DROP", call))
+        self._end_if_over()
+
+    def retire(self) -> None:
+        """Nothing new; what is in hand may still be answered."""
+        self.retired = True
+        self._end_if_over()
+
+    def close(self) -> None:
+        if self._connection:
+            self._connection.close()
+        else:
+            self._closed(False)
+
+    def sweep(self, now: float) -> None:
+        if self._decoder.halfway and now - self.used > STALL_MS:
+            self.store.loop.warnings.warn("malformed line from the store", "a reply that stopped half way")
+            self.close()
+        elif not self.calls and now - self.used > IDLE_MS:
+            self.close()
+
+    def _end_if_over(self) -> None:
+        if self.retired and not self.calls:
+            self.close()
+
+    def connect(self) -> None:
+        if self in self.store.channels:  # else closed before it was opened
+            address = self.store.address
+            self._connection = connect(self.store.loop, address, self._data, self._closed, self._opened)
+
+    def _opened(self) -> None:
+        self.up = True
+        self.store.reached()
+        for data in self.calls.values():
+            if self._connection:
+                self._connection.write(data)
+
+    def _closed(self, opened: bool) -> None:
+        calls, self.calls = self.calls, {}
+        self.store.ended(self, calls, opened)
+
+    def _data(self, data: bytes) -> None:
+        self.used = clock()
+        try:
+            for words, block in self._decoder.feed(data):
+                reply = decode(words, block)
+                if self.calls.pop(reply.call, None):  # else given up, unknown here, or a second copy
+                    self.store.replied(reply)
+            self._end_if_over()
+        except LineError as error:
+            self.store.loop.warnings.warn("malformed line from the store", str(error))
+            self.close()
 
 
 class Store:
@@ -55,85 +135,91 @@
 
     def __init__(self, loop: Loop, address: tuple[str, int], on_outcome: Callable[[Reply], None]) -> None:
         self.loop, self.address, self.on_outcome = loop, address, on_outcome
-        self._connection: Connection | None = None
-        self._decoder = lines.LineDecoder(sized)
+        self.channels: dict[Channel, None] = {}
         self._calls: dict[str, Pending] = {}
-        self._used = 0.0
         self._backoff = lines.Backoff(REFUSED_MS, REFUSED_MOST_MS)
         self._shut_until = 0.0
-        loop.after(IDLE_MS / 8, self._sweep)
+        loop.after(SWEEP_MS, self._sweep)
 
     def call(self, call: str, timeout_ms: float, body: bytes) -> None:
         """Make a call; at the end of its time it is given up here, since the store holds no limit for us."""
         self.drop(call)
         timer = self.loop.after(timeout_ms, lambda: self._late(call))
-        data = lines.line("CALL", call, max(1, round(timeout_ms)), block=body)
-        ready = self._connection is not None and not self._connection.opening
-        self._calls[call] = Pending(ready, timer, data)
-        self._used = clock()
-        if ready and self._connection:
-            self._connection.write(data)
-        elif self._connection is None:
-            # Not sooner than the backoff: a store that is down is not to be knocked at by every call.
-            self.loop.after(max(0.0, self._shut_until - self._used), self._connect)
+        channel = self._channel(call)
+        self._calls[call] = Pending(timer, channel)
+        channel.call(call, lines.line("CALL", call, max(1, round(timeout_ms)), block=body))
 
     def drop(self, call: str) -> None:
         """Give a call up without an outcome."""
         if pending := self._calls.pop(call, None):
             pending.timer.cancel()
-            if pending.written and self._connection:
-                self._connection.write(lines.line("DROP", call))
-
-    def _late(self, call: str) -> None:
-        pending = self._calls.get(call)
-        self.drop(call)
-        if pending:  # what was never written cannot have run
-            outcome = Outcome.TIMEOUT if pending.written else Outcome.CONNECT_FAILED
-            self.on_outcome(Reply(call, outcome, b""))
-
-    def _connect(self) -> None:
-        if self._connection is None and self._calls:
-            self._decoder = lines.LineDecoder(sized)
-            self._connection = connect(self.loop, self.address, self._data, self._closed, self._opened)
+            pending.channel.drop(call)
 
-    def _opened(self) -> None:
+    def move(self, address: tuple[str, int]) -> None:
+        """Calls in hand may end where they were made; new ones go to the new address."""
+        self.address, self._shut_until = address, 0.0
+        self._backoff.reset()
+        for channel in list(self.channels):
+            if channel.up:
+                channel.retire()
+
+    def _channel(self, call: str) -> Channel:
+        """The one with the fewest calls. Not one that has just carried this id: a second copy of the earlier
+        reply could be taken for the new one."""
+        wait = self._shut_until - clock()
+        if wait > 0:  # a store that is down is not to be knocked at by every call
+            for channel in self.channels:
+                if not channel.up and not channel.retired:
+                    return channel
+        fit = [c for c in self.channels if not c.retired and call not in c.recent]
+        best = min(fit, key=lambda c: len(c.calls), default=None)
+        if best and (not best.calls or len(self.channels) >= MOST_CHANNELS):
+            return best
+        if len(self.channels) >= MOST_CHANNELS:
+            next(iter(self.channels)).close()
+        channel = Channel(self)
+        self.channels[channel] = None
+        if wait > 0:
+            self.loop.after(wait, channel.connect)
+        else:
+            channel.connect()
+        return channel
+
+    def reached(self) -> None:
         self._backoff.reset()
         self._shut_until = 0.0
-        for call, pending in self._calls.items():
-            self._calls[call] = pending._replace(written=True)
-            if self._connection:
-                self._connection.write(pending.data)
 
-    def _closed(self, opened: bool) -> None:
-        self._connection = None
-        calls, self._calls = self._calls, {}
-        if not opened:
-            self._shut_until = clock() + self._backoff.wait()
+    def replied(self, reply: Reply) -> None:
+        if pending := self._calls.pop(reply.call, None):
+            pending.timer.cancel()
+            self.on_outcome(reply)
+
+    def ended(self, channel: Channel, calls: dict[str, bytes], opened: bool) -> None:
+        """A channel is no more, and with it the calls on it."""
+        if self.channels.pop(channel, 0) == 0:
+            return
+        if not opened and calls:
+            self._shut_until = max(self._shut_until, clock() + self._backoff.wait())
             self.loop.warnings.warn("store refused a connection", f"{len(calls)} calls never ran")
         elif calls:
             self.loop.warnings.warn("store connection broke", f"{len(calls)} calls may have run")
-        for call, pending in calls.items():
-            pending.timer.cancel()
-            outcome = Outcome.RESET if pending.written else Outcome.CONNECT_FAILED
-            self.on_outcome(Reply(call, outcome, b""))
-
-    def _data(self, data: bytes) -> None:
-        try:
-            for words, block in self._decoder.feed(data):
-                self._reply(decode(words, block))
-        except LineError as error:
-            self.loop.warnings.warn("malformed line from the store", str(error))
-            self._shut_until = clock() + self._backoff.wait()
-            if self._connection:
-                self._connection.close()
+        for call in calls:
+            self.replied(Reply(call, Outcome.RESET if opened else Outcome.CONNECT_FAILED, b""))
 
-    def _reply(self, reply: Reply) -> None:
-        if pending := self._calls.pop(reply.call, None):  # else given up meanwhile
-            pending.timer.cancel()
-            self._used = clock()
-            self.on_outcome(reply)
+    def _late(self, call: str) -> None:
+        pending = self._calls.pop(call, None)
+        if pending is None:
+            return
+        channel = pending.channel
+        up = channel.up
+        channel.drop(call)
+        if up:
+            channel.retire()  # its reply may be lost with what is behind it, too
+        # What was never written cannot have run.
+        self.on_outcome(Reply(call, Outcome.TIMEOUT if up else Outcome.CONNECT_FAILED, b""))
 
     def _sweep(self) -> None:
-        self.loop.after(IDLE_MS / 8, self._sweep)
-        if self._connection and not self._calls and clock() - self._used > IDLE_MS:
-            self._connection.close()
+        self.loop.after(SWEEP_MS, self._sweep)
+        now = clock()
+        for channel in list(self.channels):
+            channel.sweep(now)
