Call by what is at stake and only in time; scale the module's times with the aims

Previews, worth half without their call, stood ahead of orders. Ruled out: CPU (0.28 s a second of 0.85 allowed), memory, sockets. At fault: brain._make_calls (oldest first, whatever is left), _learn (a call in flight counted as time on the cores), and fixed times for aims that the settings scale (tick 50 ms of an aim of 350 ms).

--- a/spindlerelay/brain.py
+++ b/spindlerelay/brain.py
@@ -11,9 +11,12 @@
 
 from spindlerelay import interface as api
 
-TICK_MS = 50.0  # ms between looks at the gauges while there is work: well under any aim
-AGE_MS = 200.0  # ms between ageings of the windows, and looks while idle; an alarm as late is a standstill
-WINDOW_MS = 5000.0  # ms, decay of T, R and arrivals: some hundred requests, yet old starvation fades
+# Times that follow the work are parts of the shortest aim, as the settings scale work and aims together.
+TICK_SHARE = 1 / 28  # between looks at the gauges while there is work: well under any aim
+AGE_SHARE = 1 / 7  # between ageings of the windows, and looks while idle; an alarm as late is a standstill
+WINDOW_SHARE = 25 / 7  # decay of T, R and arrivals: some hundred requests, yet old starvation fades
+CALL_PAUSE_SHARE = 1 / 14  # before a call proved never run is tried again: doubled, and spread by chance
+LOT_MS = 5000.0  # ms out of the list by lot, and between two log lines of a kind: lists follow in seconds
 PRIOR = 4.0  # requests that every class is taken to have had served: thin classes stay near 1
 BUSY = 0.9  # share of the cores busy that makes a late run the crowd's fault
 CUT = 0.8  # factor on the running limit at a late completion: the usual mild decrease
@@ -32,7 +35,9 @@
 JAM_LAG = 0.25  # the same past which refusals ask for no further tries: reading them all is what jams
 MEMORY_SHARE = 0.92  # share of the memory used by runs and keys: reading adds more between looks
 CALL_SHARE = 0.6  # share of this server's part of the dependency; the rest is its burst where under one call
-CALL_PAUSE_MS = 100.0  # ms before a call proved never run is tried again: doubled, and spread by chance
+REST_SHARE = 1.0  # of a class's mean time on the cores that is kept for what follows a call
+CALL_MARGIN = 1.5  # mean call times that must be left for a call to be made: few of them end far later
+CALL_PART = 0.1  # part of a call's time in the mean of them: follows a jam below within some ten calls
 SAY_STEP = 1.0  # per second: how fast the published value follows the share turned away
 SAY_BACK = 0.25  # per second: how fast it returns; slower, so that callers do not swing
 SAY_MOST = 0.9  # most that is warned off: some traffic must come to see recovery
@@ -54,7 +59,7 @@
         self.end = self.due if spec.late_share > 0 else self.aim  # past this an answer is worth nothing
         self.size = 1.0  # expected work over the class's mean
         self.followers = 0  # repeats that wait for its answer
-        self.started = self.off_core = self.call_from = self.tries = 0.0
+        self.started = self.off_core = self.call_from = self.call_at = self.tries = 0.0
 
 
 class ClassState:
@@ -84,13 +89,15 @@
         self.classes = [ClassState(spec) for spec in settings.classes]
         self.top = max(spec.worth for spec in settings.classes)
         self.soonest = min(spec.aim_ms for spec in settings.classes)
+        self.tick_ms, self.age_ms = TICK_SHARE * self.soonest, AGE_SHARE * self.soonest
         self.halts = settings.halt is not api.HaltKind.NONE
         self.works: dict[int, Work] = {}
         self.begun: dict[int, Work] = {}
         self.entries: dict[int, float] = {}
         self.fresh: dict[int, float] = {}
         self.dues: list[tuple[float, int]] = []
-        self.calls: list[tuple[float, int, Work]] = []
+        self.calls: list[Work] = []
+        self.call_ms = 0.0  # mean time of calls, those given up included, fading
         self.lingering: list[float] = []
         self.tokens = [PRIOR + 2 * q / settings.servers for q in settings.tenant_quotas_per_s] or [math.inf]
         quotas = settings.tenant_quotas_per_s or (1.0,)
@@ -118,12 +125,12 @@
         if not self.started:
             self.started, self.born, self.alarm, self.last_age = True, now_ms, now_ms, now_ms
             self.out.append(api.Health(True, True))
-        elif now_ms - self.alarm > AGE_MS:
+        elif now_ms - self.alarm > self.age_ms:
             self.stall += now_ms - self.alarm
             self._log("pause seen: clock or alarm late")
         for event in events:
             self._take(event)
-        delay = TICK_MS if self.works else AGE_MS
+        delay = self.tick_ms if self.works else self.age_ms
         if due := now_ms >= self.alarm:
             self._tick()
         if due or self.alarm > now_ms + delay:
@@ -153,8 +160,9 @@
             self._let_go(work)
         else:
             self._move(work, AT_CALL)
-            work.call_from, work.tries = self.now, 0
-            heapq.heappush(self.calls, (self.now, work.id, work))
+            work.call_from = work.call_at = self.now
+            work.tries = 0
+            self.calls.append(work)
 
     def _on_request(self, event: api.Request) -> None:
         state = self.classes[event.cls]
@@ -202,7 +210,7 @@
     def _keep(self, work: Work, window: float) -> bool:
         """Retain a keyed request before it can run, so that its repeats are known; False if unaffordable."""
         if fits := self._fits(self.settings.key_kb):
-            self.entries[work.id] = max(self.now, work.arrived + window) + TICK_MS
+            self.entries[work.id] = max(self.now, work.arrived + window) + self.tick_ms
             self.out.append(api.Keep(work.id, self.entries[work.id] - self.now))
         return fits
 
@@ -215,7 +223,7 @@
             late, busy = self.now > work.aim, self.gauges.get("cpu", 0.0) > BUSY
             if not work.answered:
                 state.ended, state.done, state.ok = state.ended + 1, state.done + 1, state.ok + (not late)
-            if late and busy and self.now - self.last_cut > max(TICK_MS, state.rt):
+            if late and busy and self.now - self.last_cut > max(self.tick_ms, state.rt):
                 self.limit, self.last_cut = max(float(self.settings.cores), self.limit * CUT), self.now
                 self._log("running limit cut: late under busy cores")
         if work.id in self.fresh:
@@ -230,12 +238,22 @@
         self._move(work, RUNNING if event.outcome is api.Outcome.OK else AT_CALL)
         if event.outcome is api.Outcome.TIMEOUT:
             self.lingering.append(self.now + self.settings.linger_ms)
-        wait = CALL_PAUSE_MS * 2**work.tries * (0.5 + self.random.random())
+        if event.outcome in (api.Outcome.OK, api.Outcome.TIMEOUT):
+            self.call_ms += (event.took_ms - self.call_ms) * (CALL_PART if self.call_ms else 1.0)
+        wait = CALL_PAUSE_SHARE * self.soonest * 2**work.tries * (0.5 + self.random.random())
         if event.outcome is api.Outcome.OK:
             return
-        if event.outcome in api.NEVER_RAN and wait < (work.end - self.now) / 2 and not work.answered:
-            heapq.heappush(self.calls, (self.now + wait, work.id, work))
-        elif self.classes[work.cls].spec.skip_worth > 0:
+        again = event.outcome in api.NEVER_RAN or (work.safe and event.outcome is api.Outcome.RESET)
+        if again and wait < (work.end - self.now) / 2 and not work.answered:
+            work.call_at = self.now + wait
+            self.calls.append(work)
+        else:
+            self._go_without(work)
+
+    def _go_without(self, work: Work) -> None:
+        """The call is not made, or not again: do without it where that still earns anything, else give up."""
+        state = self.classes[work.cls]
+        if state.spec.skip_worth > 0 and work.end - self.now > REST_SHARE * state.slot:
             self.out.append(api.Skip(work.id))
             self._move(work, RUNNING)
         else:
@@ -255,7 +273,7 @@
         return fits
 
     def _log(self, text: str) -> None:
-        if self.now >= self.logged.get(text, -math.inf) + WINDOW_MS:
+        if self.now >= self.logged.get(text, -math.inf) + LOT_MS:
             self.logged[text] = self.now
             self.out.append(api.Log(text))
 
@@ -304,7 +322,7 @@
     def _tick(self) -> None:
         """Once a tick: learn run times, move the running limit."""
         cores, runq = self.settings.cores, self.gauges.get("runq", 0.0)
-        if self.now - self.last_age >= AGE_MS:
+        if self.now - self.last_age >= self.age_ms:
             self._age(self.now - self.last_age)
         self._learn()
         if runq < cores and self.count[HELD] and self.count[RUNNING] >= int(self.limit):
@@ -320,7 +338,8 @@
         for work in self.begun.values():
             state, age = self.classes[work.cls], max(0.0, self.now - work.started - self.stall)
             if age * state.runs >= state.run_ms:
-                flying = (1.0, age, max(0.0, age - work.off_core))
+                off = work.off_core + (self.now - work.call_from) * (work.state != RUNNING)
+                flying = (1.0, age, max(0.0, age - off))
                 sums[work.cls] = [a + b for a, b in zip(sums[work.cls], flying, strict=True)]
             if work.answered:
                 self._let_go(work)
@@ -330,11 +349,12 @@
     def _age(self, span: float) -> None:
         """Let windows fade, let tenants earn and keys expire; then publish."""
         settings, self.last_age = self.settings, self.now
-        keep = math.exp(-span / WINDOW_MS)
+        keep = math.exp(-span / (WINDOW_SHARE * self.soonest))
         for state in self.classes:
             for name in FIGURES:
                 setattr(state, name, getattr(state, name) * keep)
         self.lay, self.read, self.turned = self.lay * keep, self.read * keep, self.turned * keep
+        self.call_ms *= keep  # else one jam below would forbid for good the calls that could show its end
         self.asked = [asked * keep for asked in self.asked]
         ratios = sorted(asked / part for asked, part in zip(self.asked, self.parts, strict=True) if part)
         self.usual = (ratios[len(ratios) // 2] + ratios[(len(ratios) - 1) // 2]) / 2 if ratios else 0.0
@@ -366,7 +386,7 @@
             return
         slowed = self.read < FEWER * self.most and self.lay > READ_LAG * self.soonest
         aside = slowed and self.random.random() < ASIDE_SHARE
-        self.lot = self.now + WINDOW_MS * slowed
+        self.lot = self.now + LOT_MS * slowed
         if aside != self.aside:
             self.aside = aside
             self.out.append(api.Health(not aside, True))
@@ -378,8 +398,9 @@
         full table is then the cheap door, since opening and reading cost cores and no connection costs
         nothing. Could hurt where few heavy callers among many pay for opening."""
         most, least = self.settings.caller_idle_ms, IDLE_SHARE * self.soonest
-        reads = max(self.settings.cores * WINDOW_MS / 1000.0, self.read)
-        lean = self.settings.callers * WINDOW_MS > reads * most * RETURN_SHARE
+        window = WINDOW_SHARE * self.soonest
+        reads = max(self.settings.cores * window / 1000.0, self.read)
+        lean = self.settings.callers * window > reads * most * RETURN_SHARE
         vain = self.turned > VAIN_SHARE * reads or self.lay > JAM_LAG * self.soonest
         idle = self.idle * (IDLE_STEP if vain else 1.0 / IDLE_STEP)
         self.idle = min(most, max(least, idle)) if lean else most
@@ -403,7 +424,7 @@
     def _expire(self) -> None:
         """Answer what would be due, or worthless, before the next look; also when leaving."""
         horizon = self.alarm + 2 * self.settings.tick_ms
-        leaving = horizon + TICK_MS >= self.stop
+        leaving = horizon + self.tick_ms >= self.stop
         while self.dues and (leaving or self.dues[0][0] <= horizon):
             work = self.works.get(heapq.heappop(self.dues)[1])
             if work is None or work.answered or (work.followers and not leaving and work.end > horizon):
@@ -472,19 +493,31 @@
             self._refuse(self.works[heapq.heappop(kept)[2]], True)
 
     def _make_calls(self) -> None:
-        """Make the calls that runs wait for, oldest first, for the time left, within this server's share of
-        what is below, lingering ones included. Under one call: one, for as long as its mean has room."""
+        """Make the calls that runs wait for, within this server's share of what is below, lingering ones
+        included: those with the most at stake first, then the oldest. One that would end too late is not
+        made, as it would stay below for nothing. Under one call: one, for as long as its mean has room."""
         self.lingering = [until for until in self.lingering if until > self.now]
-        while self.calls and self.calls[0][0] <= self.now:
+        waiting = [w for w in self.calls if w.id in self.works and not w.answered and w.state == AT_CALL]
+        self.calls = []
+        for work in sorted(waiting, key=lambda w: (-self._stake(w), w.id)):
+            left = min(work.due, self.stop) - self.now - 2 * self.tick_ms
+            if self.classes[work.cls].spec.skip_worth > 0:  # leave time for what follows without the call
+                left = min(left, work.aim - self.now - REST_SHARE * self.classes[work.cls].slot)
             hand = self.count[CALLING] + len(self.lingering)
             alone = hand + 1 > self.share
-            if alone and (hand or self.room < self.burst / 2):
-                return
-            work = heapq.heappop(self.calls)[2]
-            if work.id in self.works and not work.answered and work.state == AT_CALL:
+            if left < CALL_MARGIN * self.call_ms:
+                self._go_without(work)
+            elif work.call_at > self.now or (alone and (hand or self.room < self.burst / 2)):
+                self.calls.append(work)
+            else:
                 work.tries += 1
                 self._move(work, CALLING)
-                left = min(work.due, self.stop) - self.now - 2 * TICK_MS
                 if alone:
                     left = min(left, self.room / (1.0 - self.share) - self.settings.linger_ms)
                 self.out.append(api.Call(work.id, max(1.0, left)))
+
+    def _stake(self, work: Work) -> float:
+        """What the call of this request adds to its worth."""
+        spec = self.classes[work.cls].spec
+        late = self.now + self.call_ms > work.aim
+        return spec.worth * (1.0 - spec.skip_worth) * (spec.late_share if late else 1.0)
