Turn bad clients away soon, free ended connections, and bound memory by the limits

Checked: 1000 decoders take 44 MB (msgpack's Unpacker holds 44 KB of stack each), and a closed Link and its Connection hold one another until a full collection. No Idle action comes where connections are few, so idle_ms stayed infinite. node.take gave an open id's and a stored key's result without looking at the body. Change: one unpacker for all, halves kept by each; closed connections let go; connections go after 1.5 s without a whole request, near a full table after 0.1 s, and idle ones are asked to go; more than 32 open, far ttl or recv are errors; a key or id with another body gets an error; held work of an ended connection is given up (Gone); ERROR to APPLY is MOOT and frees the key; results and records by limits.memory_mb, expiry by heap.

--- a/spindlerelay/__main__.py
+++ b/spindlerelay/__main__.py
@@ -29,6 +29,7 @@
 
 STOP_MS = 3200.0  # where the configuration does not say how long after SIGTERM the process is stopped
 SOCKETS = 1024
+MEMORY_MB = 192.0
 
 
 class ConfigError(Exception):
@@ -44,6 +45,7 @@
     seed: int
     stop_ms: float
     sockets: int
+    memory_mb: float
     settings: api.Settings
 
 
@@ -83,6 +85,7 @@
             seed=int(str(tree.get("seed", "0")), 16),
             stop_ms=float(tree.get("stop_ms", STOP_MS)),
             sockets=int(limits.get("sockets", SOCKETS)),
+            memory_mb=float(limits.get("memory_mb", MEMORY_MB)),
             settings=settings.parse(settings.pairs_of_json(tree["settings"])),
         )
     except (ValueError, TypeError, AttributeError) as error:
@@ -121,7 +124,7 @@
     def __init__(self, config: Config) -> None:
         self.config = config
         self.loop = Loop()
-        self.node = Node(self.loop, config.settings, Brain(config.settings, config.seed))
+        self.node = Node(self.loop, config.settings, Brain(config.settings, config.seed), config.memory_mb)
         self.node.start(config.vm, config.store, config.announce, config.name)
         self.node.add_front(Balancers(self.loop, config.listen, config.settings, config.sockets, self.node))
         handlers: dict[int, Callable[[], None]] = {
--- a/spindlerelay/net/balancers.py
+++ b/spindlerelay/net/balancers.py
@@ -10,11 +10,19 @@
 from spindlerelay.net.loop import Connection, Listener, Loop, clock
 
 CROSSING_MS = 50.0  # by the protocol: a request may cross a goaway for so long
-SWEEP_MS = 100.0  # between looks for idle connections
+SWEEP_MS = 50.0  # between looks at all connections
 OWN_SOCKETS = 32  # descriptors kept for our own links, log and listener
 MOST_OPEN = 32  # requests open on one connection, by the protocol
+MOST_BAD = 16  # bad requests on one connection, past which nothing more is read from it
 STUCK_MS = 15000.0  # an answer that no byte of which was taken for so long: the peer is gone
-BROKEN_MS = 6000.0  # the longest that a connection without intake may wait for its last answers
+BROKEN_MS = 5000.0  # the longest that what a connection without intake still sends is read and dropped
+FIRST_MS = 1500.0  # a connection without a whole request for so long is no balancer's
+HALF_MS = 1500.0  # the same for a request that was begun
+FULL_MS = 100.0  # the same while the table is nearly full
+IDLE_FULL_MS = 300.0  # idle for so long, a connection may be asked to go while the table is nearly full
+NEARLY = 0.75  # share of the table past which it is nearly full
+AHEAD_MS = 5000.0  # a request cannot have come later than now, but for clocks that are being set
+SPARE_MS = 1000.0  # past its class's deadline that a request may state: no balancer waits longer
 
 
 class Link:
@@ -24,8 +32,10 @@
         self.front = front
         self.decoder = msgpackrpc.Decoder()
         self.open: dict[int, Ask] = {}
-        self.used = self.moved = clock()
-        self.unsent = 0
+        self.begun = self.used = self.moved = clock()
+        self.half = 0.0  # since when a request has been half read
+        self.asked = False  # a whole request has come
+        self.bad = self.unsent = 0
         self.leaving = 0.0  # when goaway was sent
         self.deaf = False  # intake has ended
         self.connection = Connection(front.loop, sock, self._data, self._closed)
@@ -34,18 +44,26 @@
         self.used = clock()
         if self.deaf:
             return  # read and dropped: see Connection.end
-        for call in self.decoder.feed(data):
+        calls = self.decoder.feed(data)
+        for call in calls:
             self._call(call)
-        if self.decoder.broken:
-            # A stream that lost its framing cannot be trusted again, but what was read is owed an answer.
-            self.deaf = True
-            self.leaving = self.leaving or self.used
-            self.front.loop.warnings.warn("bad input from a balancer", self.decoder.broken)
-            self._end_if_over()
-        elif len(self.open) >= MOST_OPEN:
-            self.connection.pause(True)
+        if self.decoder.broken or self.bad > MOST_BAD:
+            self._deafen(self.decoder.broken or "too many bad requests")
+        elif not self.decoder.rest:
+            self.half = 0.0
+        elif calls or not self.half:
+            self.half = self.used
+
+    def _deafen(self, why: str) -> None:
+        """A stream that lost its framing cannot be trusted again, but what was read is owed an answer."""
+        self.deaf = True
+        self.decoder.rest = b""
+        self.leaving = clock()
+        self.front.loop.warnings.warn("bad input from a balancer", why)
+        self._end_if_over()
 
     def _call(self, call: msgpackrpc.Call) -> None:
+        self.asked = True
         node, write = self.front.node, self.connection.write
         if call.method == "ping":
             write(msgpackrpc.encode_health(call.msgid, node.healthy, node.load))
@@ -56,8 +74,15 @@
                 raise msgpackrpc.FieldError(f"unknown method {call.method[:40]}")
             if call.msgid in self.open:
                 raise msgpackrpc.FieldError("message id is in use")
-            ask = msgpackrpc.parse_ask(cls, self.front.keyed[cls], self.front.tenants, call.params)
+            if len(self.open) >= MOST_OPEN:
+                raise msgpackrpc.FieldError("too many open requests")
+            ask = msgpackrpc.parse_ask(
+                cls, self.front.keyed[cls], self.front.tenants, call.params, self.front.longest_ms[cls]
+            )
+            if ask.recv > self.used + AHEAD_MS:
+                raise msgpackrpc.FieldError("bad field recv")
         except msgpackrpc.FieldError as error:
+            self.bad += 1
             self.front.loop.warnings.warn("bad request from a balancer", str(error))
             write(msgpackrpc.encode_answer(call.msgid, Failed(f"BadRequest: {error}"), node.load))
             return
@@ -72,8 +97,10 @@
         self.connection.write(msgpackrpc.encode_answer(msgid, outcome, self.front.node.load))
         if self.deaf:
             self._end_if_over()
-        elif len(self.open) < MOST_OPEN:
-            self.connection.pause(False)
+
+    def idle(self, now: float) -> float:
+        """For how long it has lain idle; 0 where it is at work or has been asked to go."""
+        return 0.0 if self.open or self.leaving else now - self.used
 
     def go_away(self) -> None:
         if not self.leaving:
@@ -85,20 +112,28 @@
             self.connection.end()
 
     def _closed(self, opened: bool) -> None:
-        for ask in self.open.values():
-            self.front.places.pop(ask, None)
+        asks = list(self.open.values())
         self.open.clear()
+        for ask in asks:
+            self.front.places.pop(ask, None)
+            self.front.node.gone(ask)
         self.front.left(self)
 
-    def sweep(self, now: float, idle_ms: float) -> None:
-        """Close what lies idle, what said goodbye and what takes nothing of its answers."""
+    def sweep(self, now: float, idle_ms: float, full: bool) -> None:
+        """Close what lies idle, what said goodbye, what never asked and what takes nothing of its answers."""
         unsent = len(self.connection.out)
         if unsent != self.unsent or not unsent:
             self.unsent, self.moved = unsent, now
-        if now - self.moved > STUCK_MS or (self.deaf and now - self.leaving > BROKEN_MS):
+        first_ms = FULL_MS if full else BROKEN_MS if self.deaf else FIRST_MS
+        if now - self.moved > STUCK_MS or (not self.asked and now - self.begun > first_ms):
             self.connection.close()
+        elif self.half and now - self.half > HALF_MS and not self.deaf:
+            self._deafen("a request that stopped half way")
         elif self.open:
             return
+        elif self.deaf:
+            if now - self.leaving > BROKEN_MS:
+                self.connection.close()
         elif self.leaving:
             # A request that crossed the goaway would be lost by a close at once.
             if now - max(self.leaving, self.used) > 2 * CROSSING_MS and not unsent:
@@ -122,8 +157,9 @@
         self.classes = {spec.name: index for index, spec in enumerate(settings.classes)}
         self.keyed = [spec.effect is api.Effect.KEYED for spec in settings.classes]
         self.tenants = {name: index for index, name in enumerate(settings.tenant_names)}
+        self.longest_ms = [spec.deadline_ms + SPARE_MS for spec in settings.classes]
         self.most = max(8, sockets - OWN_SOCKETS)
-        self.idle_ms = float("inf")
+        self.idle_ms = settings.caller_idle_ms or float("inf")
         self.draining = False
         self.links: dict[Link, None] = {}
         self.places: dict[Ask, tuple[Link, int]] = {}
@@ -147,10 +183,14 @@
     def _sweep(self) -> None:
         self.loop.after(SWEEP_MS, self._sweep)
         now = clock()
-        # A full table lets nobody in: then the idle ones go first, however short they lay.
-        idle_ms = min(self.idle_ms, 1000.0) if self.listener.held else self.idle_ms
+        # A full table lets nobody in: well before that, those go that never asked, then those that lie idle.
+        spare = len(self.links) - NEARLY * self.most
         for link in list(self.links):
-            link.sweep(now, idle_ms)
+            link.sweep(now, self.idle_ms, spare > 0)
+        if spare > 0:
+            idle = [link for link in self.links if link.idle(now) > IDLE_FULL_MS]
+            for link in sorted(idle, key=lambda link: link.used)[: int(spare) + 1]:
+                link.go_away()
 
     def answer(self, ask: Ask, outcome: Outcome) -> None:
         """Send the final answer, unless the balancer's connection has ended."""
--- a/spindlerelay/net/exchange.py
+++ b/spindlerelay/net/exchange.py
@@ -23,6 +23,10 @@
     dedupe: str = ""  # in keyed classes: the same for all tries of one request
     row: int = 0  # what a read is about
 
+    def content(self) -> int:
+        """The same for all tries of one request: who sends something else under its key is not its client."""
+        return hash((self.cls, self.tenant, self.dedupe, self.row, self.body))
+
 
 class Served(NamedTuple):
     """The result of a run, unchanged."""
@@ -69,3 +73,5 @@
     healthy: bool
 
     def take(self, front: Front, ask: Ask) -> None: ...
+
+    def gone(self, ask: Ask) -> None: ...
--- a/spindlerelay/net/loop.py
+++ b/spindlerelay/net/loop.py
@@ -111,6 +111,10 @@
                     self._survive(connection.broken)
 
 
+def _drop(_: object) -> None:
+    """For what a closed connection might still bring."""
+
+
 class Connection:
     """A non-blocking stream socket with an output buffer. ``on_data`` gets what was read; ``on_close`` is
     called once, with True where the connection had been established."""
@@ -128,7 +132,6 @@
         self.out = bytearray()
         self.open = True
         self.opening = on_open is not None
-        self.paused = False
         self.ending = False
         self._mask = selectors.EVENT_WRITE if self.opening else selectors.EVENT_READ
         loop.watch(sock, self._mask, self)
@@ -139,12 +142,6 @@
             self.out += data
             self.loop.dirty(self)
 
-    def pause(self, paused: bool) -> None:
-        """Stop or go on reading."""
-        if paused != self.paused:
-            self.paused = paused
-            self._remask()
-
     def end(self) -> None:
         """Say that no more is written, once all is sent; the connection closes when the peer's side ends. To
         close at once while the peer still writes would reset it, and it might lose what it had not read."""
@@ -158,7 +155,10 @@
         self.loop.forget(self.sock)
         self.sock.close()
         self.out.clear()
-        self.on_close(not self.opening)
+        on_close = self.on_close
+        # Its owner and this hold one another: without this the memory of each connection would stay for long.
+        self.on_data, self.on_close, self.on_open = _drop, _drop, None
+        on_close(not self.opening)
 
     broken = close
 
@@ -215,7 +215,7 @@
         if not self.open or self.opening:
             return
         # A peer that does not read gets no further hearing until it does: its answers would pile up here.
-        mask = 0 if self.paused or len(self.out) > OUT_HIGH else selectors.EVENT_READ
+        mask = 0 if len(self.out) > OUT_HIGH else selectors.EVENT_READ
         mask |= selectors.EVENT_WRITE if self.out else 0
         if mask == self._mask:
             return
--- a/spindlerelay/net/msgpackrpc.py
+++ b/spindlerelay/net/msgpackrpc.py
@@ -11,10 +11,10 @@
 from spindlerelay.net.exchange import Ask, Failed, Outcome, Refused, Served
 
 MAX_BODY = 2048  # bytes, by the protocol
-MAX_FRAME = 16384  # bytes: body, a dozen short fields and a wide margin
+MAX_FRAME = 8192  # bytes: body, a dozen short fields and a wide margin
 MAX_ITEMS = 64  # in one array or map: an honest frame has a dozen
 MAX_MSGID = 2**32
-MAX_MS = 1e6  # no request waits longer; also keeps inf out of the arithmetic
+MAX_MS = 1e6  # no request waits longer, where its class says nothing else
 HEX16 = re.compile(r"[0-9a-fA-F]{16}\Z")
 HEX32 = re.compile(r"[0-9a-fA-F]{32}\Z")
 DIGITS = re.compile(r"[0-9]{1,15}\Z")
@@ -34,34 +34,46 @@
     """A readable request with bad fields."""
 
 
+def _unpacker() -> msgpack.Unpacker:
+    return msgpack.Unpacker(
+        raw=False, max_buffer_size=8 * MAX_FRAME, max_str_len=MAX_FRAME, max_bin_len=MAX_BODY,
+        max_array_len=MAX_ITEMS, max_map_len=MAX_ITEMS, max_ext_len=0, read_size=4096,
+    )  # fmt: skip
+
+
 class Decoder:
-    """Frames of one connection. Once ``broken`` says why, nothing more can be read from it."""
+    """Frames of one connection. Once ``broken`` says why, nothing more can be read from it.
+
+    All decoders share one unpacker, which takes 44 KB: it is idle between two chunks, as what is left of a
+    chunk is kept here."""
+
+    _shared = _unpacker()
 
     def __init__(self) -> None:
         self.broken = ""
-        self._fed = self._ended = 0
-        self._unpacker = msgpack.Unpacker(
-            raw=False, max_buffer_size=8 * MAX_FRAME, max_str_len=MAX_FRAME, max_bin_len=MAX_BODY,
-            max_array_len=MAX_ITEMS, max_map_len=MAX_ITEMS, max_ext_len=0, read_size=4096,
-        )  # fmt: skip
+        self.rest = b""  # a frame that is not complete
 
     def feed(self, data: bytes) -> list[Call]:
         """The calls that are complete now, those before a broken frame too."""
         calls: list[Call] = []
+        unpacker = Decoder._shared
+        data = self.rest + data if self.rest else data
+        start = ended = unpacker.tell()
         try:
-            self._unpacker.feed(data)
-            self._fed += len(data)
-            for frame in self._unpacker:
-                ended = self._unpacker.tell()
-                if ended - self._ended > MAX_FRAME:
+            unpacker.feed(data)
+            for frame in unpacker:
+                last, ended = ended, unpacker.tell()
+                if ended - last > MAX_FRAME:
                     raise ValueError("oversized frame")
-                self._ended = ended
                 if call := _call(frame):
                     calls.append(call)
-            if self._fed - self._ended > MAX_FRAME:
+            self.rest = data[ended - start :]
+            if len(self.rest) > MAX_FRAME:
                 raise ValueError("oversized frame")
         except Exception as error:  # the library raises many kinds; all mean that the stream is unreadable
-            self.broken = str(error) or type(error).__name__
+            self.broken, self.rest = str(error) or type(error).__name__, b""
+        if self.rest or self.broken:
+            Decoder._shared = _unpacker()  # the old one still holds what is left
         return calls
 
 
@@ -97,7 +109,9 @@
     return value
 
 
-def parse_ask(cls: int, keyed: bool, tenants: Mapping[str, int], params: list[Any]) -> Ask:
+def parse_ask(
+    cls: int, keyed: bool, tenants: Mapping[str, int], params: list[Any], longest_ms: float = MAX_MS
+) -> Ask:
     """The request in the parameters of a call; FieldError names the field that is wrong."""
     if len(params) != 2 or not isinstance(params[0], dict) or not isinstance(params[1], bytes):
         raise FieldError("a request needs fields and a body")
@@ -114,7 +128,7 @@
         call=_matching(fields, "call", HEX16).lower(),
         cls=cls,
         recv=recv,
-        due=recv + _number(fields, "ttl", 0.0, MAX_MS),
+        due=recv + _number(fields, "ttl", 0.0, longest_ms),
         body=body,
         tenant=tenant,
         caller=int(_matching(fields, "src", DIGITS)) & 0xFFFFFFFF,
--- a/spindlerelay/net/node.py
+++ b/spindlerelay/net/node.py
@@ -62,9 +62,11 @@
 class Node:
     """Between the fronts, the module and the peers."""
 
-    def __init__(self, loop: Loop, settings: api.Settings, module: Module) -> None:
+    def __init__(
+        self, loop: Loop, settings: api.Settings, module: Module, memory_mb: float = 192.0
+    ) -> None:
         self.loop, self.settings, self.module = loop, settings, module
-        self.repeats = Repeats()
+        self.repeats = Repeats(memory_mb)
         self.load: float | None = None
         self.healthy = True
         self.stop_at = self.last_run = float("inf")
@@ -156,29 +158,44 @@
         now = clock()
         if earlier := self._calls.get(ask.call):
             # Ids are new with every try: this is the same one, sent again since its connection ended.
-            if earlier.answered or earlier.front.reachable(earlier.ask):
+            same = earlier.ask.content() == ask.content() and earlier.ask.recv == ask.recv
+            if earlier.answered or earlier.front.reachable(earlier.ask) or not same:
                 front.answer(ask, Failed("Duplicate: this call is being worked on"))
             else:
                 earlier.front, earlier.ask = front, ask
             return
+        spec = self.settings.classes[ask.cls]
+        if spec.effect is api.Effect.KEYED and not self.repeats.matches(ask.dedupe, ask.content()):
+            # Not one of its tries: it must get no result of theirs, nor stand in their way.
+            front.answer(ask, Failed("BadRequest: another request has this key"))
+            return
         rid, self._next_id = self._next_id, self._next_id + 1
         work = self._tries[rid] = self._calls[ask.call] = Try(rid, ask, front)
         # Not before the module has seen it: what is read too late gets the module's refusal, with its advice.
         work.guard = self.loop.wheel.at(max(ask.due, now + 2 * TICK_MS), lambda: self._overdue(work))
-        spec = self.settings.classes[ask.cls]
         original = 0
         if spec.effect is api.Effect.KEYED:
             work.key = ask.dedupe
         elif ask.row and self.settings.fresh_ms > 0:
             work.key = (ask.cls, ask.row)
         if work.key is not None:
-            original = self.repeats.link(work.key, rid, ask.recv, now)
+            original = self.repeats.link(work.key, rid, ask.recv, now, ask.content())
         self._inbox.append(api.Request(
             rid, ask.cls, max(0.0, now - ask.recv), max(0.001, ask.due - now), ask.row, original, ask.rank,
             ask.held_kb, ask.tenant, 0.0, ask.retry, not ask.row, ask.caller,
         ))  # fmt: skip
         work.leader = original
 
+    def gone(self, ask: Ask) -> None:
+        """Its connection has ended, so nobody hears the answer. What has not begun is given up, unless others
+        wait for it; what runs goes on, and its result is kept for the next try."""
+        work = self._calls.get(ask.call)
+        if work is None or work.ask is not ask or work.answered or work.running:
+            return
+        if work.leader or not self.repeats.followed(work.id):
+            self._give_up(work, Failed())
+            self._inbox.append(api.Gone(work.id))
+
     def settle(self) -> None:
         """Give the module in one step all that a turn has brought, then carry out its actions in order."""
         if not self._inbox or not self._started:
@@ -299,7 +316,7 @@
     def _keep(self, action: api.Keep) -> None:
         work = self._tries.get(action.id)
         if work and work.key is not None:
-            self.repeats.keep(work.id, work.key, clock() + action.for_ms)
+            self.repeats.keep(work.id, work.key, clock() + action.for_ms, work.ask.content())
 
     def _reuse(self, action: api.Reuse) -> None:
         work = self._tries.get(action.id)
@@ -366,7 +383,11 @@
             self._inbox.append(api.Needs(work.id))
         elif isinstance(notice, interpreter.Refusal):
             self.loop.warnings.warn("the interpreter refused a command", f"{notice.command} {notice.call}")
-            self._ended(work, api.Outcome.ERROR, None)
+            if notice.command == "APPLY":  # proof that nothing ran, and no run time to learn from
+                self.repeats.never_ran(work.id)
+                self._ended(work, api.Outcome.MOOT, None)
+            else:
+                self._ended(work, api.Outcome.ERROR, None)
         else:
             ended = ENDS[notice.end]
             self._ended(work, ended, notice.result if ended is api.Outcome.OK else None)
--- a/spindlerelay/net/repeats.py
+++ b/spindlerelay/net/repeats.py
@@ -7,10 +7,14 @@
 
 from __future__ import annotations
 
+import heapq
+import itertools
 from collections import OrderedDict
 
-RESULT_BYTES = 48 << 20  # of stored results in all: a quarter of the memory that a node has
-MOST_RECORDS = 100_000  # of some 0.5 KB each; a window at ten times the usual traffic holds a tenth
+OWN_MB = 32.0  # of a node's memory that the program takes by itself, with all connections in use
+RESULT_SHARE = 0.25  # of the rest that stored results may take
+RECORDS_PER_MB = 250  # of some 0.5 KB each: an eighth of the memory
+AGAIN_MS = 1000.0  # until the next look at a record that is still at work past its end
 LATE_MS = 6000.0  # past the window: longer than any request may wait before it is read
 
 Key = str | tuple[int, int]  # what tries of one request share; for reads, the class and the row
@@ -19,10 +23,11 @@
 class Record:
     """All that is known of one request."""
 
-    __slots__ = ("key", "holder", "until", "ran", "bound_until", "over", "result", "followers")
+    __slots__ = ("key", "content", "holder", "until", "ran", "bound_until", "over", "result", "followers")
 
-    def __init__(self, key: Key, holder: int) -> None:
+    def __init__(self, key: Key, holder: int, content: int) -> None:
         self.key = key
+        self.content = content  # what all its tries have in common
         self.holder = holder  # the try that repeats are linked to
         self.until = 0.0  # end of the entry that the module asked for
         self.ran = 0  # the try that was run
@@ -38,18 +43,26 @@
 class Repeats:
     """The table. A record without an entry or a run lives for one batch, which links two tries in it."""
 
-    def __init__(self, result_bytes: int = RESULT_BYTES, most: int = MOST_RECORDS) -> None:
-        self.result_bytes, self.most = result_bytes, most
+    def __init__(self, memory_mb: float = 192.0) -> None:
+        self.result_bytes = int(max(1.0, (memory_mb - OWN_MB) * RESULT_SHARE) * (1 << 20))
+        self.most = int(memory_mb * RECORDS_PER_MB)
         self.stored = 0
         self._records: dict[Key, Record] = {}
         self._holders: dict[int, Record] = {}
         self._fresh: list[Record] = []
         self._results: OrderedDict[Record, None] = OrderedDict()
+        self._ends: list[tuple[float, int, Record]] = []  # one entry for each record that is kept
+        self._order = itertools.count()
 
     def __len__(self) -> int:
         return len(self._records)
 
-    def link(self, key: Key, rid: int, recv: float, now: float) -> int:
+    def matches(self, key: Key, content: int) -> bool:
+        """Whether a try with this key may be one of the request that has it."""
+        record = self._records.get(key)
+        return record is None or record.content == content
+
+    def link(self, key: Key, rid: int, recv: float, now: float, content: int = 0) -> int:
         """The id of the try that this one repeats; or 0, and it stands for the request in this batch."""
         record = self._records.get(key)
         if record:
@@ -57,7 +70,7 @@
             if alive or record in self._fresh:
                 return record.holder
             self._remove(record)
-        record = Record(key, rid)
+        record = Record(key, rid, content)
         self._records[key] = self._holders[rid] = record
         self._fresh.append(record)
         return 0
@@ -69,17 +82,19 @@
             if not record.until and not record.ran:
                 self._remove(record)
 
-    def keep(self, rid: int, key: Key, until: float) -> None:
+    def keep(self, rid: int, key: Key, until: float, content: int = 0) -> None:
         """Enter a try, or renew its entry. A full table enters nothing more; then the try must not run."""
         record = self._records.get(key)
         if record is None:
-            record = self._records[key] = self._holders[rid] = Record(key, rid)
+            record = self._records[key] = self._holders[rid] = Record(key, rid, content)
         if not record.until and len(self._records) > self.most:
             return
         if record.holder != rid and not record.ran:
             self._holders.pop(record.holder, None)
             record.holder = rid
             self._holders[rid] = record
+        if not record.until:
+            heapq.heappush(self._ends, (until, next(self._order), record))
         record.until = max(record.until, until)
 
     def forget(self, rid: int) -> None:
@@ -101,6 +116,17 @@
         if record:
             record.ran, record.bound_until = rid, bound_until
 
+    def never_ran(self, rid: int) -> None:
+        """What was thought to run did not: the request is free again."""
+        record = self._holders.get(rid)
+        if record and record.ran == rid:
+            record.ran, record.bound_until = 0, 0.0
+
+    def followed(self, rid: int) -> bool:
+        """Whether others wait for what this try comes to."""
+        record = self._holders.get(rid)
+        return record is not None and bool(record.followers)
+
     def ran(self, key: Key) -> Record | None:
         """What is known of a request that has run here."""
         record = self._records.get(key)
@@ -154,6 +180,11 @@
 
     def expire(self, now: float) -> None:
         """Forget what binds nobody any more."""
-        for record in [r for r in self._records.values() if r.end() <= now and r not in self._fresh]:
-            if record.over or not record.ran:
+        while self._ends and self._ends[0][0] <= now:
+            _, order, record = heapq.heappop(self._ends)
+            if self._records.get(record.key) is not record:
+                continue
+            if record.end() <= now and (record.over or not record.ran) and record not in self._fresh:
                 self._remove(record)
+            else:
+                heapq.heappush(self._ends, (max(record.end(), now + AGAIN_MS), order, record))
