--- a/spindlerelay/__main__.py
+++ b/spindlerelay/__main__.py
@@ -88,7 +88,7 @@
             memory_mb=float(limits.get("memory_mb", MEMORY_MB)),
             settings=settings.parse(settings.pairs_of_json(tree["settings"])),
         )
-    except (ValueError, TypeError, AttributeError) as error:
+    except (ValueError, TypeError, AttributeError, OverflowError) as error:
         raise ConfigError(f"{path}: {error}") from None
 
 
--- a/spindlerelay/net/store.py
+++ b/spindlerelay/net/store.py
@@ -176,7 +176,7 @@
         if best and (not best.calls or len(self.channels) >= MOST_CHANNELS):
             return best
         if len(self.channels) >= MOST_CHANNELS:
-            next(iter(self.channels)).close()
+            min(self.channels, key=lambda c: len(c.calls)).close()
         channel = Channel(self)
         self.channels[channel] = None
         if wait > 0:
