Warn everyone off only in the second half of the grace when leaving

Ruled out: crashes, memory, links (one silent link in five logs). At fault: brain._publish said 1.0 from the notice to leave on, so a third of the fleet stood idle for 2.5 s. The new test fails without the change.

--- a/spindlerelay/brain.py
+++ b/spindlerelay/brain.py
@@ -40,6 +40,7 @@
 CALL_PART = 0.1  # part of a call's time in the mean of them: follows a jam below within some ten calls
 SAY_STEP = 1.0  # per second: how fast the published value follows the share turned away
 SAY_BACK = 0.25  # per second: how fast it returns; slower, so that callers do not swing
+WARN_SHARE = 0.5  # last part of the grace in which a leaving server warns all off: earlier, none replaces it
 SAY_MOST = 0.9  # most that is warned off: some traffic must come to see recovery
 
 FIGURES = ("came", "begun", "done", "ended", "ok", "hints", "hint_ms", "runs", "run_ms", "core_ms")
@@ -414,7 +415,7 @@
         credit = 4.0 * self.limit / min(callers, len(self.works) + 1)  # no more have anything out here
         rise = SAY_STEP * share if self.gauges.get("cpu", 1.0) > BUSY else -SAY_BACK
         self.warned = min(SAY_MOST, max(0.0, self.warned + seconds * rise))
-        value = 1.0 if self.last_entry < math.inf else self.warned
+        value = 1.0 if self.now > self.last_entry - WARN_SHARE * self.settings.drain_grace_ms else self.warned
         if say is not api.SayKind.LEVEL:
             value = (1.0 - value) * (1.0 if say is api.SayKind.WEIGHT else credit)
         if say is not api.SayKind.NONE and abs(value - self.said) > 0.02 * max(1.0, value):
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -159,6 +159,17 @@
     assert driver.all(api.Fail) == [api.Fail(1)]
 
 
+def test_a_leaving_server_warns_everyone_off_only_towards_the_end_of_its_grace() -> None:
+    """Its successor is neither listed nor warm yet: what it turns away at once, the others are short of."""
+    driver = Driver(settings(PLAIN, say=api.SayKind.LEVEL))
+    driver.send(api.Drain(3000.0))
+    driver.to(900.0)
+    assert {a.value for a in driver.all(api.Say)} <= {0.0}
+    assert api.Run(1) in driver.send(api.Request(1, 0))
+    driver.to(1500.0)
+    assert driver.all(api.Say)[-1].value == 1.0
+
+
 def test_call_is_repeated_only_on_proof_that_it_never_ran() -> None:
     config = settings(UNSAFE._replace(calls=True), below=api.Below.TIER)
     driver = Driver(config)
