--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -202,8 +202,8 @@
     driver.send(*(api.Request(i, int(i > 6)) for i in range(1, 9)))
     assert {a.id for a in of(api.Call, driver.send(*(api.Needs(i) for i in range(1, 9))))} == {1, 7, 8}
     driver.now = 900.0
-    driver.send(api.Called(7, api.Outcome.OK, 900.0), api.Done(7, api.Outcome.OK))
-    assert {2, 3, 4, 5, 6} == {a.id for a in driver.all(api.Skip)}  # 1100 ms are left, 1350 wanted
+    driver.send(api.Called(7, api.Outcome.OK, 1500.0), api.Done(7, api.Outcome.OK))
+    assert {2, 3, 4, 5, 6} == {a.id for a in driver.all(api.Skip)}  # 1100 ms are left, 2250 wanted
     assert driver.all(api.Call)[-1].id in (1, 7, 8) and not driver.all(api.Fail)
     driver.send(*(api.Done(i, api.Outcome.OK) for i in range(1, 9)))
     driver.to(3900.0)
