--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import socket
 from typing import Any
 
 import pytest
 
 from spindlerelay import interface as api
+from spindlerelay.net.announce import AGAIN_MS, Announcer
 from spindlerelay.net.exchange import Ask, Failed, Outcome, Refused, Served
 from spindlerelay.net.interpreter import Await, Banner, Refusal, Value
 from spindlerelay.net.loop import Loop, clock
@@ -172,6 +174,19 @@
     assert bench.answers == [(A, Refused())] and not bench.done("apply")
 
 
+def test_a_change_of_health_is_reported_three_times_since_any_report_may_get_lost() -> None:
+    loop, service = Loop(), socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    service.bind(("127.0.0.1", 0))
+    service.settimeout(5.0)
+    announcer = Announcer(loop, service.getsockname(), "n3")
+    announcer.start()
+    announcer.tell(False)
+    loop.after(3 * AGAIN_MS, lambda: setattr(loop, "running", False))
+    loop.run(lambda: None)
+    told = [service.recv(100) for _ in range(4)]
+    assert told == [b"announce n3 true"] + 3 * [b"announce n3 false"]
+
+
 def test_nothing_raises_through_the_loop(bench: Bench) -> None:
     def fault() -> None:
         raise KeyError("scripted fault")
