--- a/spindlerelay/cli/run.py
+++ b/spindlerelay/cli/run.py
@@ -10,10 +10,12 @@
 import click
 from loguru import logger
 
+from spindlerelay.brain import Brain
 from spindlerelay.cli import Fault
 from spindlerelay.config import operator as operators
 from spindlerelay.config.platform import Config, ConfigError, read_config
 from spindlerelay.interface import Below, Settings
+from spindlerelay.node.node import Module
 from spindlerelay.service import Service, log_to_stderr
 
 if TYPE_CHECKING:
@@ -32,20 +34,26 @@
 
 
 def start(
-    path: str | None, log_format: str | None, decider: Callable[[Table, Settings, int], Decider] | None = None
+    path: str | None,
+    log_format: str | None,
+    decider: Callable[[Table, Settings, int], Decider] | None = None,
+    module: Callable[[Settings, int], Module] | None = None,
 ) -> int:
-    """Run one node to its end. ``decider`` makes what decides about calls, in place of the product's own."""
+    """Run one node to its end. ``decider`` makes what decides about calls, and ``module`` what decides about
+    requests, in place of the product's own."""
     try:
         options = operators.read(path) if path else operators.Operator()
         log_to_stderr(log_format or options.log.format, options.log.level)
         config = read_config(dict(os.environ))
         if path:
             operators.check_node(path, options, config.settings)
-        service = Service(config, alone if options.dependency else None)
+        service = Service(config, alone if options.dependency else None, module or Brain)
         if path and options.dependency:
             start_dependencies(service, config, path, options, decider)
         if options.consul:
             start_consul(service, config, options.consul)
+        if path and options.capture:
+            start_capture(service, config, path, options.capture)
         service.run()
     except operators.OperatorError as error:
         raise Fault("\nspindlerelay: ".join(error.lines)) from None
@@ -70,6 +78,9 @@
     def leave(self) -> None:
         """Calls go on through the drain, as the runs that wait for them do."""
 
+    def close(self) -> None:
+        """Nothing is kept."""
+
     def reload(self) -> None:
         try:
             options = operators.read(self.path)
@@ -102,6 +113,21 @@
     service.features.append(Dependencies(pool, path, config.settings))
 
 
+def start_capture(service: Service, config: Config, path: str, table: operators.CaptureTable) -> None:
+    """A trace of what the node reads."""
+    from spindlerelay.observe.capture import Capture, Options
+
+    options = Options(table.path, int(table.max_mb * 1_000_000), table.max_requests)
+    try:
+        capture = Capture(service.loop, options, config.settings)
+    except FileExistsError:
+        raise ConfigError(f"{path}: capture.path: {table.path} exists; name a new file") from None
+    except OSError as error:
+        raise ConfigError(f"{path}: capture.path: {table.path}: {error.strerror}") from None
+    service.node.tap = capture.tap
+    service.features.append(capture)
+
+
 def start_consul(service: Service, config: Config, table: operators.ConsulTable) -> None:
     """The node's entry in the catalogue."""
     from spindlerelay.consul.agent import Agent, Options, TokenError
--- a/spindlerelay/config/operator.py
+++ b/spindlerelay/config/operator.py
@@ -139,12 +139,21 @@
     every: Annotated[float, BeforeValidator(_duration), Field(ge=100.0, le=3_600_000.0)] = 10_000.0
 
 
+class CaptureTable(Table):
+    """A trace of the requests that the node reads."""
+
+    path: Annotated[Text, Field(min_length=1)]
+    max_mb: Annotated[float, Field(gt=0.0, le=4096.0, strict=False)] = 64.0
+    max_requests: Annotated[int, Field(ge=1, le=5_000_000)] = 200_000
+
+
 class Operator(Table):
     """The whole file."""
 
     log: LogTable = LogTable()
     metrics: MetricsTable = MetricsTable()
     consul: ConsulTable | None = None
+    capture: CaptureTable | None = None
     dependency: Annotated[list[DependencyTable], Field(max_length=MOST_DEPENDENCIES)] = []
 
     def table(self) -> dependencies.Table:
@@ -184,6 +193,9 @@
         except TokenError as error:
             raise OperatorError([f"{path}: consul.token_file: {error}"]) from None
         operator = operator.model_copy(update={"consul": table.model_copy(update={"token_file": token})})
+    if operator.capture:
+        whole = {"path": str(base / operator.capture.path)}
+        operator = operator.model_copy(update={"capture": operator.capture.model_copy(update=whole)})
     return operator
 
 
@@ -210,10 +222,11 @@
         hint = f"did you mean {near[0]}?" if near else f"known here: {', '.join(names)}"
         return f"{path}: {key}: no such key; {hint}"
     stands = repr(fault["input"])
-    return f"{path}: {key}: {stands[:60]} stands there; expected {_wanted(kind, fault)}"
+    return f"{path}: {key}: {stands[:60]} stands there; expected {wanted(kind, fault)}"
 
 
-def _wanted(kind: str, fault: dict[str, Any]) -> str:
+def wanted(kind: str, fault: dict[str, Any]) -> str:
+    """What would be right in place of a value, from pydantic's word for what is wrong with it."""
     context = fault.get("ctx", {})
     if kind == "value_error":
         return str(context.get("error", fault["msg"]))
@@ -221,6 +234,10 @@
         return f"a number of at least {context['ge']:g}"
     if kind == "less_than_equal":
         return f"a number of at most {context['le']:g}"
+    if kind == "greater_than":
+        return f"a number above {context['gt']:g}"
+    if kind == "less_than":
+        return f"a number under {context['lt']:g}"
     if kind == "literal_error":
         return f"one of {context['expected']}"
     if kind == "string_pattern_mismatch":
--- a/spindlerelay/consul/agent.py
+++ b/spindlerelay/consul/agent.py
@@ -94,6 +94,9 @@
         """The notice to leave: out of the catalogue first, ahead of the drain."""
         self._step([lifecycle.Leave()])
 
+    def close(self) -> None:
+        """Its entry left with the drain."""
+
     def reload(self) -> None:
         """SIGHUP: the token file may have been replaced. A bad one leaves the old token in use."""
         try:
--- a/spindlerelay/lab/drills/dependencies.py
+++ b/spindlerelay/lab/drills/dependencies.py
@@ -100,7 +100,7 @@
     stage = watch.play(StageSpec(
         seed=job.seed, nodes=fleet(job.nodes, WARM_UP_MS), phases=(Phase(LENGTH_MS, job.load, job.load),),
         dependents=pair(job.nodes, job.priced), classes=classes(job.priced),
-        launcher="spindlerelay.lab.plain" if job.plain else "spindlerelay",
+        launcher=("spindlerelay.lab.plain",) if job.plain else ("spindlerelay",),
         troubles=tuple((name, Trouble(kind, FROM_MS, TO_MS)) for name, kind in job.faults),
     ))  # fmt: skip
     return {"job": job, **_found(stage), "hand": watch.hand}
--- a/spindlerelay/lab/models/machine.py
+++ b/spindlerelay/lab/models/machine.py
@@ -103,6 +103,10 @@
         self._admit()
         return events
 
+    def wait_unread(self, rid: str, work: float) -> None:
+        """A request has come while the machine stands still."""
+        self._unread.append((rid, work))
+
     def apply(self, now: float, rid: str, plan: Plan) -> list[Event]:
         """Start a run; nothing happens where it runs already."""
         events = self.advance(now)
--- a/spindlerelay/lab/peers/interpreter.py
+++ b/spindlerelay/lab/peers/interpreter.py
@@ -49,6 +49,12 @@
         if link:
             link.close()
 
+    def cut(self) -> None:
+        """The link breaks; what runs goes on, and notices are kept for the next link."""
+        link, self._link = self._link, None
+        if link:
+            link.close()
+
     def _accept(self, sock: socket.socket) -> None:
         old, self._decoder = self._link, lines.LineDecoder(sized)
         link = self._link = Connection(self.loop, sock, lambda data: self._data(link, data), lambda _: None)
--- a/spindlerelay/node/node.py
+++ b/spindlerelay/node/node.py
@@ -110,6 +110,7 @@
         self.store: store.Store
         self.pool: Calls | None = None  # the operator's dependencies, where there are any
         self.announcer: Announcer
+        self.tap: Callable[[Ask], None] | None = None  # hears of every request read, where one is captured
         self.fronts: list[Front] = []
         self._inbox: list[api.Event] = []
         self._tries: dict[int, Try] = {}
@@ -190,6 +191,8 @@
     def take(self, front: Front, ask: Ask) -> None:
         """A request has been read."""
         now = clock()
+        if self.tap is not None:
+            self.tap(ask)
         if earlier := self._calls.get(ask.call):
             # Ids are new with every try: this is the same one, sent again since its connection ended.
             same = earlier.ask.content() == ask.content() and earlier.ask.recv == ask.recv
--- /dev/null
+++ b/spindlerelay/observe/__init__.py
@@ -0,0 +1,1 @@
+"""What a node tells of its work: traces of requests."""
--- a/spindlerelay/service.py
+++ b/spindlerelay/service.py
@@ -17,7 +17,7 @@
 from spindlerelay.config.platform import Config, ConfigError, read_config
 from spindlerelay.fronts.balancers import Balancers
 from spindlerelay.interface import Settings
-from spindlerelay.node.node import Node
+from spindlerelay.node.node import Module, Node
 from spindlerelay.transport.loop import Loop
 
 TEXT = "{time:YYYY-MM-DD HH:mm:ss.SSS} {level} {message}"
@@ -30,6 +30,8 @@
 
     def reload(self) -> None: ...
 
+    def close(self) -> None: ...
+
 
 def log_to_stderr(form: str = "text", level: str = "INFO") -> None:
     """``form`` is text, or json for one object a line."""
@@ -67,11 +69,16 @@
 class Service:
     """The node under a configuration that may be replaced while it runs."""
 
-    def __init__(self, config: Config, told: Callable[[Settings], Settings] | None = None) -> None:
+    def __init__(
+        self,
+        config: Config,
+        told: Callable[[Settings], Settings] | None = None,
+        module: Callable[[Settings, int], Module] = Brain,
+    ) -> None:
         """``told`` makes what the module is told of the settings, where a feature takes a part over."""
         self.config = config
         self.loop = Loop()
-        brain = Brain(told(config.settings) if told else config.settings, config.seed)
+        brain = module(told(config.settings) if told else config.settings, config.seed)
         self.node = Node(self.loop, config.settings, brain, config.memory_mb)
         self.node.start(config.vm, config.store, config.announce, config.name)
         self.node.add_front(Balancers(self.loop, config.listen, config.settings, config.sockets, self.node))
@@ -110,3 +117,5 @@
         gc.freeze()  # what is loaded by now stays: collections need not walk it
         self.loop.run(self.node.settle)
         self.loop.flush()
+        for feature in self.features:
+            feature.close()
--- a/spindlerelay/transport/loop.py
+++ b/spindlerelay/transport/loop.py
@@ -13,7 +13,7 @@
 
 from loguru import logger
 
-from spindlerelay.transport.wheel import Timer, Wheel
+from spindlerelay.transport.wheel import TICK_MS, Timer, Wheel
 
 READ_BYTES = 16384  # per connection and round: bounds what one peer adds before the others get their turn
 OUT_HIGH = 16384  # bytes unsent past which nothing more is read from a peer: it asks but does not read
@@ -26,6 +26,11 @@
     return time.time() * 1000.0
 
 
+def steady() -> float:
+    """Milliseconds on a clock that nobody sets, the same for all processes of a machine."""
+    return time.monotonic() * 1000.0
+
+
 class RateLimited:
     """One log line a second of a kind, with the number of those left out."""
 
@@ -52,10 +57,12 @@
 
 
 class Loop:
-    """The program's only loop."""
+    """The program's only loop. ``now`` is the clock of its timers, in ms: a node's is that of its balancers;
+    who measures takes one that nobody sets."""
 
-    def __init__(self) -> None:
-        self.wheel = Wheel()
+    def __init__(self, now: Callable[[], float] = clock, tick_ms: float = TICK_MS) -> None:
+        self.now = now
+        self.wheel = Wheel(tick_ms)
         self.warnings = RateLimited()
         self.running = True
         self._selector = selectors.DefaultSelector()
@@ -72,7 +79,7 @@
             self._selector.unregister(sock)
 
     def after(self, delay_ms: float, action: Callable[[], None]) -> Timer:
-        return self.wheel.at(clock() + delay_ms, action)
+        return self.wheel.at(self.now() + delay_ms, action)
 
     def dirty(self, connection: Connection) -> None:
         self._dirty[connection] = None
@@ -84,12 +91,12 @@
 
     def turn(self, settle: Callable[[], None]) -> None:
         due = self.wheel.next_ms()
-        wait = None if due is None else max(0.0, due - clock()) / 1000.0
+        wait = None if due is None else max(0.0, due - self.now()) / 1000.0
         for key, mask in self._selector.select(wait):
             handler: Ready = key.data
             if not self._survive(lambda handler=handler, mask=mask: handler.ready(mask)):  # type: ignore[misc]
                 self._survive(handler.broken)
-        for timer in self.wheel.due(clock()):
+        for timer in self.wheel.due(self.now()):
             self._survive(timer.action)
         self._survive(settle)
         self.flush()
--- a/spindlerelay/transport/wheel.py
+++ b/spindlerelay/transport/wheel.py
@@ -30,13 +30,14 @@
 class Wheel:
     """Timers on the clock that is handed in, never early, at most a tick late."""
 
-    def __init__(self) -> None:
+    def __init__(self, tick_ms: float = TICK_MS) -> None:
+        self.tick_ms = tick_ms
         self._buckets: dict[int, dict[Timer, None]] = {}
         self._ticks: list[int] = []
 
     def at(self, when_ms: float, action: Callable[[], None]) -> Timer:
         """Call ``action`` at the first tick at or after ``when_ms``."""
-        tick = math.ceil(when_ms / TICK_MS)
+        tick = math.ceil(when_ms / self.tick_ms)
         bucket = self._buckets.get(tick)
         if bucket is None:
             bucket = self._buckets[tick] = {}
@@ -49,14 +50,14 @@
         """When the next timer is due. Buckets whose timers were all cancelled wake nobody up."""
         while self._ticks:
             if self._buckets[self._ticks[0]]:
-                return self._ticks[0] * TICK_MS
+                return self._ticks[0] * self.tick_ms
             del self._buckets[heapq.heappop(self._ticks)]
         return None
 
     def due(self, now_ms: float) -> list[Timer]:
         """Take out the timers that are due, in the order of their ticks."""
         ready: list[Timer] = []
-        while self._ticks and self._ticks[0] * TICK_MS <= now_ms:
+        while self._ticks and self._ticks[0] * self.tick_ms <= now_ms:
             bucket = self._buckets.pop(heapq.heappop(self._ticks))
             ready.extend(bucket)
             bucket.clear()
