--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,6 @@
 	.venv-lab/bin/python -m bench.consul_roster
 	.venv-lab/bin/python -m bench.dependency_limits
 	.venv-lab/bin/python -m bench.dependency_cost
+	.venv-lab/bin/python -m bench.hot_path
+	.venv-lab/bin/python -m bench.capacity
+	.venv-lab/bin/python -m bench.pair_intervals
--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,41 @@
+"""What breaks first as load and nodes grow, on the emulator.
+
+    python -m bench.capacity [--nodes 4,11,22] [--loads 0.6,0.9,1.2,1.5] [--seconds 6]
+
+One run at a time: cores that runs share would show as the generator's lateness."""
+
+from __future__ import annotations
+
+import click
+
+from spindlerelay.lab.load import capacity, outcomes
+from spindlerelay.lab.models import traffic
+from spindlerelay.lab.play import LATE_BOUND_MS, Emulation, emulate
+from spindlerelay.service import log_to_stderr
+
+
+@click.command()
+@click.option("--nodes", default="4,11,22")
+@click.option("--loads", default="0.6,0.9,1.2,1.5")
+@click.option("--seconds", default=6.0)
+@click.option("--habits", default="steady,least,deaf,hasty")
+@click.option("--seed", default=1)
+def main(nodes: str, loads: str, seconds: float, habits: str, seed: int) -> None:
+    """Print the pressures, and what breaks first at each size."""
+    log_to_stderr(level="CRITICAL")
+    for count in map(int, nodes.split(",")):
+        runs = []
+        for load in map(float, loads.split(",")):
+            found = emulate(Emulation(seed, count, seconds, load, habits=habits))
+            worth = outcomes.worth(found.rows, traffic.CLASSES)
+            runs.append(capacity.pressure(found.told, worth, LATE_BOUND_MS))
+            parts = ", ".join(f"{part} {value:.2f}" for part, value in runs[-1].parts.items())
+            rate = len(found.rows) / seconds
+            print(f"{count:3} nodes, load {load:.2f} ({rate:.0f}/s): worth {worth:.3f}; {parts}", flush=True)
+        first, part = capacity.breaks_first(runs), capacity.nearest(runs)
+        told = f"{first[0]} breaks first, at {first[1]:g}" if first else "nothing breaks"
+        print(f"{count:3} nodes: {told}; at the top {part[0]} is at {part[1]:.2f} of its bound", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/spindlerelay/cli/__init__.py
+++ b/spindlerelay/cli/__init__.py
@@ -11,6 +11,10 @@
     "run": "run one render node",
     "check": "check configuration files without starting anything",
     "demo": "play a small fleet on the emulator",
+    "load": "send open-loop load to nodes, an emulated fleet or echo stand-ins",
+    "trace": "import, check and describe traces of requests",
+    "experiment": "play a matrix of runs and compare variants pair by pair",
+    "report": "make a page of a recorded run or an experiment",
     "drill": "cause a failure on the emulator and check the claims about it",
 }
 
@@ -39,6 +43,11 @@
     start."""
 
 
+def said(lines: list[str]) -> Fault:
+    """Several faults of one file, a line each."""
+    return Fault("\nspindlerelay: ".join(lines))
+
+
 class Fault(click.ClickException):
     """Told in one line, with the next step; status 2."""
 
--- /dev/null
+++ b/spindlerelay/cli/experiment.py
@@ -0,0 +1,73 @@
+"""``experiment``: play a matrix of runs, and say pair by pair whether the variants differ."""
+
+from __future__ import annotations
+
+import click
+from rich.console import Console
+from rich.progress import (
+    BarColumn,
+    MofNCompleteColumn,
+    Progress,
+    TextColumn,
+    TimeElapsedColumn,
+    TimeRemainingColumn,
+)
+
+from spindlerelay.cli import Fault, said
+from spindlerelay.lab.experiments import matrix, runner
+from spindlerelay.lab.experiments.pairs import compared
+from spindlerelay.lab.experiments.results import Entry, Results, ResultsError
+from spindlerelay.lab.revisions import RevisionError
+
+
+@click.command()
+@click.argument("path", type=click.Path())
+@click.option("--db", type=click.Path(dir_okay=False), help="Results; FILE.db if left out.")
+@click.option("--most", default=0, type=click.IntRange(0), help="Stop after so many runs.")
+@click.option("--dry", is_flag=True, help="Only say what would be played.")
+def experiment(path: str, db: str | None, most: int, dry: bool) -> int:
+    """Play what is missing of the experiment in FILE.toml; status 1 when a run is void or broke a rule."""
+    try:
+        found = matrix.read(path)
+        results = Results(db or path.removesuffix(".toml") + ".db")
+        todo = runner.missing(runner.resolved(found), results)
+    except matrix.ExperimentError as error:
+        raise said(error.lines) from None
+    except (ResultsError, RevisionError) as error:
+        raise Fault(str(error)) from None
+    console, total = Console(), len(matrix.runs(found))
+    at_once = runner.side_by_side(found)
+    console.print(f"{found.name}: {total} runs, {total - len(todo)} are there, {at_once} at once")
+    if dry:
+        return 0
+    trouble = list[str]()
+    columns = (
+        TextColumn("{task.description}"), BarColumn(), MofNCompleteColumn(), TimeElapsedColumn(),
+        TextColumn("left"), TimeRemainingColumn(),
+    )  # fmt: skip
+    with Progress(*columns, console=console, transient=True) as progress:
+        bar = progress.add_task(found.name, total=min(len(todo), most or len(todo)))
+
+        def ended(entry: Entry) -> None:
+            progress.advance(bar)
+            played = entry.played
+            if played.void:
+                trouble.append(f"void: {played.variant} {played.cell}: {played.void}")
+            elif played.figures["rules_broken"]:
+                trouble.append(f"rules broken: {played.variant} {played.cell}")
+
+        try:
+            for _ in runner.carry_out(found, results, ended, most):
+                pass
+        except KeyboardInterrupt:
+            console.print("stopped; what has ended is kept, and the same command goes on from there")
+            return 130
+        except RevisionError as error:
+            raise Fault(str(error)) from None
+    for line in trouble:
+        console.print(line)
+    for row in compared(results.played(found.name), results.variants(found.name)):
+        where = f"{row.story}, {row.nodes} nodes, load {row.load:g}: " if row.story else "over all: "
+        console.print(where + row.interval.words(found.variant[0].name, row.variant))
+    results.close()
+    return 1 if trouble else 0
--- /dev/null
+++ b/spindlerelay/cli/report.py
@@ -0,0 +1,51 @@
+"""``report``: one page of a recorded run, or of an experiment's database."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import click
+
+from spindlerelay.cli import Fault
+from spindlerelay.lab.experiments.results import Results, ResultsError
+from spindlerelay.lab.play import Recording
+from spindlerelay.lab.reports import report as reports
+
+
+@click.command()
+@click.argument("source", type=click.Path())
+@click.option("--out", default="report.html", show_default=True, type=click.Path(dir_okay=False))
+@click.option("--experiment", help="Which one, where the database holds several.")
+@click.option("--csv", "folder", type=click.Path(file_okay=False), help="Write the tables there.")
+@click.option("--json", "path", type=click.Path(dir_okay=False), help="Write the tables there, too.")
+def report(source: str, out: str, experiment: str | None, folder: str | None, path: str | None) -> int:
+    """Make a page of SOURCE, a recording of 'load --record' or a database of 'experiment'."""
+    try:
+        made = _made(source, experiment)
+        made.write(out, folder or "", path or "")
+    except (ResultsError, ValueError) as error:
+        raise Fault(str(error)) from None
+    except OSError as error:
+        raise Fault(f"{error.filename}: {error.strerror}") from None
+    for line in made.verdicts:
+        click.echo(line)
+    click.echo(out)
+    return 0
+
+
+def _made(source: str, experiment: str | None) -> reports.Report:
+    data = Path(source).read_bytes()[:16]
+    if not data.startswith(b"SQLite format 3"):
+        try:
+            recording = Recording.unpacked(Path(source).read_bytes())
+        except ValueError:
+            raise Fault(f"{source}: neither a recording of 'load --record' nor a database") from None
+        return reports.of_recording(f"Run {Path(source).stem}", recording)
+    results = Results(source, must_exist=True)
+    names = results.experiments()
+    if experiment is None and len(names) != 1:
+        raise Fault(f"{source}: give --experiment, one of {', '.join(names) or 'none that is there'}")
+    name = experiment or names[0]
+    if name not in names:
+        raise Fault(f"{source}: no experiment {name!r}; known: {', '.join(names)}")
+    return reports.of_experiment(results, name)
--- a/spindlerelay/cli/run.py
+++ b/spindlerelay/cli/run.py
@@ -11,7 +11,7 @@
 from loguru import logger
 
 from spindlerelay.brain import Brain
-from spindlerelay.cli import Fault
+from spindlerelay.cli import Fault, said
 from spindlerelay.config import operator as operators
 from spindlerelay.config.platform import Config, ConfigError, read_config
 from spindlerelay.interface import Below, Settings
@@ -56,7 +56,7 @@
             start_capture(service, config, path, options.capture)
         service.run()
     except operators.OperatorError as error:
-        raise Fault("\nspindlerelay: ".join(error.lines)) from None
+        raise said(error.lines) from None
     except ConfigError as error:
         raise Fault(str(error)) from None
     except OSError as error:
--- /dev/null
+++ b/spindlerelay/cli/trace.py
@@ -0,0 +1,62 @@
+"""``trace``: import, check and describe traces."""
+
+from __future__ import annotations
+
+from collections import Counter
+from pathlib import Path
+
+import click
+
+from spindlerelay.cli import Fault, said
+from spindlerelay.lab.load import traces
+
+
+@click.group()
+def trace() -> None:
+    """Traces of requests: docs/traces.md has the format."""
+
+
+@trace.command("import")
+@click.argument("source", type=click.Path())
+@click.option("--format", "form", type=click.Choice(["csv", "jsonl"]), help="By the file's name if left out.")
+@click.option("--out", required=True, type=click.Path(dir_okay=False), help="The trace to write.")
+def bring(source: str, form: str | None, out: str) -> int:
+    """Make a trace of a CSV file with a head line, or of JSON lines."""
+    form = form or {".csv": "csv", ".jsonl": "jsonl", ".json": "jsonl"}.get(Path(source).suffix)
+    if form is None:
+        raise Fault(f"{source}: its name tells no format; give --format csv or --format jsonl")
+    try:
+        found = traces.imported(source, form)
+        Path(out).write_bytes(traces.written(found.records, f"imported from {Path(source).name}"))
+    except traces.TraceError as error:
+        raise said(error.lines) from None
+    except OSError as error:
+        raise Fault(f"{out}: {error.strerror}") from None
+    click.echo(f"{len(found.records)} requests in {out}")
+    return 0
+
+
+@trace.command()
+@click.argument("source", type=click.Path())
+def show(source: str) -> int:
+    """Say what is in a trace; status 1 where it was cut off."""
+    try:
+        found = traces.read(source)
+    except traces.TraceError as error:
+        raise said(error.lines) from None
+    records, length = found.records, found.records[-1].at / 1000.0
+    rate = f"{len(records) / length:.1f} a second" if length else "all at once"
+    click.echo(f"{len(records)} requests in {length:.1f} s, {rate}")
+    for name, counts in (
+        ("class", Counter(record.cls for record in records)),
+        ("department", Counter(record.department or "(none)" for record in records)),
+    ):
+        click.echo(f"by {name}: " + ", ".join(f"{key} {count}" for key, count in counts.most_common(20)))
+    keys = Counter(record.key for record in records if record.key)
+    again = sum(record.retry for record in records)
+    click.echo(f"keys: {len(keys)}, {sum(keys.values()) - len(keys)} repeats of them; {again} marked tries")
+    if found.missed:
+        click.echo(f"{found.missed} requests came past the capture's bound and are not in it")
+    if found.cut:
+        click.echo(found.cut)
+    return 1 if found.cut else 0
--- a/spindlerelay/config/operator.py
+++ b/spindlerelay/config/operator.py
@@ -26,7 +26,8 @@
 MOST_ERRORS = 50  # told of one file
 
 
-def _address(value: Any) -> tuple[str, int]:
+def address(value: Any) -> tuple[str, int]:
+    """Host and port; ValueError says what would be right."""
     host, _, port = str(value).rpartition(":")
     try:
         socket.inet_aton(host)  # there is no DNS
@@ -37,7 +38,8 @@
     return host, int(port)
 
 
-def _duration(value: Any) -> float:
+def duration(value: Any) -> float:
+    """Milliseconds of a time with its unit; ValueError says what would be right."""
     match = re.fullmatch(r"([0-9]+(?:\.[0-9]+)?)(ms|s|m|h)", value) if isinstance(value, str) else None
     if not match:
         raise ValueError('a time with its unit, such as "90s" or "2m"')
@@ -45,7 +47,7 @@
 
 
 def _reap(value: Any) -> float:
-    ms = _duration(value)
+    ms = duration(value)
     if ms < REAP_LEAST_MS:
         raise ValueError('at least "1m": the agent takes out a critical service no sooner')
     return ms
@@ -58,8 +60,8 @@
 
 
 Prefix = Annotated[str, BeforeValidator(_prefix)]
-Duration = Annotated[float, BeforeValidator(_duration)]
-Address = Annotated[tuple[str, int], BeforeValidator(_address)]
+Duration = Annotated[float, BeforeValidator(duration)]
+Address = Annotated[tuple[str, int], BeforeValidator(address)]
 Reap = Annotated[float, BeforeValidator(_reap)]
 Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,126}$")]
 Text = Annotated[str, Field(max_length=512)]
@@ -121,7 +123,7 @@
     guest_share: Share = 0.25
     retry_share: Share = 0.1
     slow_after: Duration = 0.0
-    open_for: Annotated[float, BeforeValidator(_duration), Field(ge=50.0, le=60_000.0)] = 700.0
+    open_for: Annotated[float, BeforeValidator(duration), Field(ge=50.0, le=60_000.0)] = 700.0
 
     def spec(self) -> dependencies.Spec:
         routes = tuple(dependencies.Route(route.cls, route.prefix.encode()) for route in self.routes)
@@ -136,7 +138,7 @@
 class MetricsTable(Table):
     """How often figures go to the log."""
 
-    every: Annotated[float, BeforeValidator(_duration), Field(ge=100.0, le=3_600_000.0)] = 10_000.0
+    every: Annotated[float, BeforeValidator(duration), Field(ge=100.0, le=3_600_000.0)] = 10_000.0
 
 
 class CaptureTable(Table):
--- a/spindlerelay/lab/load/outcomes.py
+++ b/spindlerelay/lab/load/outcomes.py
@@ -184,6 +184,8 @@
         raise ValueError(f"no such grouping: {by!r}; known: class, department, outcome")
     found = []
     for name, chosen in groups.items():
+        if by == "outcome" and not chosen.any():
+            continue
         counts = {kind: int(np.sum(outcome[chosen] == i)) for i, kind in enumerate(OUTCOMES)}
         total = float(asked[chosen].sum())
         answered = chosen & (rows["end"] < ENDS.index("unsent"))
--- a/spindlerelay/lab/load/run.py
+++ b/spindlerelay/lab/load/run.py
@@ -7,6 +7,7 @@
 
 import gc
 import multiprocessing
+import socket
 import time
 from collections.abc import Sequence
 from contextlib import suppress
@@ -223,15 +224,14 @@
     """Play against echo stand-ins of its own; one worker sends to all of them."""
     fleet = EchoFleet(count, stalls, ports)
     try:
-        _reachable(fleet.targets)
+        reachable(fleet.targets)
         return play(spec._replace(targets=fleet.targets), fleet.began)
     finally:
         fleet.close()
 
 
-def _reachable(targets: Sequence[Target]) -> None:
-    import socket
-
+def reachable(targets: Sequence[Target]) -> None:
+    """Wait until all of them take connections."""
     until = time.monotonic() + READY_S
     for target in targets:
         while True:
--- a/spindlerelay/lab/play.py
+++ b/spindlerelay/lab/play.py
@@ -231,7 +231,7 @@
         "rules": dict(stage.checker.counts), "refusals": dict(stage.refusals),
         "broken": [f"{each.rule} at {each.node}: {each.detail}" for each in stage.checker.broken[:5]],
         "faults": late.faults(), "sample_ms": SAMPLE_MS, "samples": samples, "service": SERVICE,
-        "events": [(each.words(), each.at_ms, each.end_ms) for each in spec.events],
+        "events": [[each.words(), each.at_ms, each.end_ms] for each in spec.events],
         "digest": digest(stage.orders, spec.seed),
     }  # fmt: skip
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -7,6 +7,11 @@
 import re
 from pathlib import Path
 
+from spindlerelay.lab.experiments import matrix
+from spindlerelay.lab.load import outcomes
+from spindlerelay.lab.models import script
+from spindlerelay.lab.models.balancer import HABITS
+
 ROOT = Path(__file__).parent.parent
 BRAIN = (ROOT / "spindlerelay" / "brain.py").read_text()
 
@@ -42,3 +47,16 @@
     kinds |= {text.split(":")[0] for text in logged}
     assert len(kinds) > 15
     assert not {kind for kind in kinds if f"`{kind}`" not in page}
+
+
+def test_every_key_of_an_experiment_stands_in_its_reference() -> None:
+    page = (ROOT / "docs" / "experiments.md").read_text()
+    tables = (matrix.Experiment, matrix.VariantTable, matrix.StoryTable, matrix.TroubleTable)
+    fields = [(name, field) for table in tables for name, field in table.model_fields.items()]
+    assert not [name for name, field in fields if f"`{field.alias or name}`" not in page]
+
+
+def test_every_habit_trouble_and_reason_stands_on_the_page_of_the_load_tool() -> None:
+    page = (ROOT / "docs" / "load.md").read_text()
+    words = [*HABITS, *script.KINDS, *(reason for reason in outcomes.REASONS if reason)]
+    assert not [word for word in words if f"`{word}`" not in page]
--- /dev/null
+++ b/tests/test_load_outcomes.py
@@ -0,0 +1,99 @@
+"""Figures are read from every row, and a run that cannot be trusted says so."""
+
+from __future__ import annotations
+
+import numpy as np
+import pytest
+
+from spindlerelay.lab.load import outcomes
+from spindlerelay.lab.load.outcomes import ENDS, Outcome, Rows
+from spindlerelay.lab.models.traffic import CLASSES
+
+NAMES = ("preview", "proof", "order")
+DEPARTMENTS = ("acqua", "rifiuti", "anagrafe", "tributi")
+
+
+def row(
+    number: int, took: float, end: str = "served", cls: int = 1, late: float = 0.2, **more: object
+) -> bytes:
+    given = {"tries": 1, "department": number % 4, "reason": "", "poorer": False} | more
+    return Outcome(number * 10.0, late, number, took, cls=cls, end=end, **given).packed()  # type: ignore[arg-type]
+
+
+def rows(*packed: bytes) -> Rows:
+    return outcomes.rows_of(b"".join(packed))
+
+
+def test_rows_come_back_as_they_were_and_a_torn_one_is_left_out() -> None:
+    data = row(0, 12.5) + row(1, 3.0, "failed", reason="failed late")
+    found = outcomes.rows_of(data + data[:10])
+    assert len(found) == 2 and found["took_us"].tolist() == [12_500, 3000]
+    assert [ENDS[end] for end in found["end"]] == ["served", "failed"]
+    assert outcomes.reasons(found) == {"failed late": 1}
+
+
+def test_worth_counts_aims_late_shares_and_poorer_answers() -> None:
+    found = rows(
+        row(0, 1000.0, cls=0), row(1, 1000.0, cls=0, poorer=True), row(2, 2000.0, cls=2),
+        row(3, 100.0, "refused", cls=1),
+    )  # fmt: skip
+    got = 1.0 + CLASSES[0].skip_worth + 5.0 * 0.2
+    assert outcomes.worth(found, CLASSES) == pytest.approx(got / 9.0)
+    assert [outcomes.OUTCOMES[each] for each in outcomes.outcome_of(found, CLASSES)] == [
+        "in_aim", "in_aim", "late", "refused",
+    ]  # fmt: skip
+    assert outcomes.worth(outcomes.rows_of(b""), CLASSES) == 0.0
+
+
+def test_percentiles_are_of_all_rows_and_not_of_means() -> None:
+    found = rows(*(row(i, 10.0) for i in range(985)), *(row(i, 2000.0) for i in range(985, 1000)))
+    told = outcomes.percentiles(found["took_us"])
+    assert told["p90_ms"] == pytest.approx(10.0, rel=0.001)
+    assert told["p99_ms"] == pytest.approx(2000.0, rel=0.001)
+
+
+def test_histograms_of_workers_merge_to_the_histogram_of_all() -> None:
+    parts = [np.arange(1000, 3000), np.full(50, 90_000)]
+    merged = outcomes.merged([outcomes.histogram(part).encode() for part in parts])
+    whole = outcomes.histogram(np.concatenate(parts))
+    for percentile in outcomes.PERCENTILES:
+        assert merged.get_value_at_percentile(percentile) == whole.get_value_at_percentile(percentile)
+    assert merged.total_count == 2050
+
+
+def test_a_late_sender_and_an_unsent_request_each_void_the_run() -> None:
+    good = rows(*(row(i, 5.0) for i in range(100)))
+    assert not outcomes.lateness(good, 100, 5.0).faults()
+    late = rows(*(row(i, 5.0, late=0.2 if i % 50 else 80.0) for i in range(100)))
+    assert "late" in outcomes.lateness(late, 100, 5.0).faults()[0]
+    short = outcomes.lateness(good, 103, 5.0)
+    assert short.ratio < 1.0 and short.faults() == ["3 of 103 requests were never sent"]
+    assert outcomes.lateness(outcomes.rows_of(b""), 3, 5.0).faults() == ["3 of 3 requests were never sent"]
+
+
+def test_what_a_lost_worker_did_not_tell_is_told_as_unsent() -> None:
+    known = rows(row(0, 5.0), row(2, 5.0))
+    gone = outcomes.missing(known, [(0.0, 1, 0), (10.0, 2, 1), (20.0, 1, 2), (30.0, 0, 3)])
+    assert gone["number"].tolist() == [1, 3] and outcomes.reasons(gone) == {"worker lost": 2}
+    whole = outcomes.joined([known, gone])
+    assert whole["number"].tolist() == [0, 1, 2, 3]
+    table = outcomes.table(whole, CLASSES, DEPARTMENTS)
+    assert table[0]["unsent"] == 2 and table[0]["p50_ms"] == pytest.approx(5.0, rel=0.01)
+
+
+def test_tables_hold_every_request_once_by_each_grouping() -> None:
+    found = rows(*(row(i, 10.0 * i, cls=i % 3) for i in range(1, 60)))
+    for by in ("class", "department", "outcome"):
+        told = outcomes.table(found, CLASSES, DEPARTMENTS, by)
+        assert sum(each["asked"] for each in told if each[by] != "all") == told[0]["asked"] == 59
+    with pytest.raises(ValueError, match="known: class"):
+        outcomes.table(found, CLASSES, DEPARTMENTS, "node")
+
+
+def test_worth_over_time_and_the_heat_map_lose_nothing() -> None:
+    found = rows(*(row(i, 1.0 + 37.0 * i) for i in range(100)))
+    counts, edges = outcomes.heat(found, 250.0)
+    assert counts.sum() == 100 and counts.shape == (4, len(edges) - 1)
+    told = outcomes.over_time(found, CLASSES, 250.0)
+    assert told["per_s"] == [100.0] * 4 and told["worth"][0] == 1.0
+    assert told["worth"][3] is not None and told["worth"][3] < 1.0  # the last ones took past their aim
--- /dev/null
+++ b/tests/test_load_run.py
@@ -0,0 +1,134 @@
+"""The load tool on real sockets: honest about stalls, about itself and about workers that are gone."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import numpy as np
+import pytest
+
+from spindlerelay.lab.load import outcomes, run, sender, shapes
+from spindlerelay.lab.load.run import LoadSpec, Stream
+from spindlerelay.lab.load.sender import Sender, Target
+from spindlerelay.lab.models.balancer import HABITS
+from spindlerelay.lab.peers.dialects import MessagePackRpc, Told
+from spindlerelay.lab.peers.echo import Echo, Stall
+from spindlerelay.lab.stage import free_port
+from spindlerelay.transport.loop import Listener, Loop, clock, steady
+
+LOOSE_MS = 1000.0  # of lateness: a busy machine is no fault of these tests
+
+
+def spec(rate: float, seconds: float, **more: object) -> LoadSpec:
+    stream = Stream(1, "paced", shapes.curve("steady", rate, 0.0, seconds * 1000.0))
+    return LoadSpec(stream, (), late_bound_ms=LOOSE_MS)._replace(**more)  # type: ignore[arg-type]
+
+
+def echoed(of: LoadSpec, *stalls: Stall) -> run.LoadResult:
+    return run.with_echo(of, 1, stalls, [free_port()])
+
+
+def test_a_stall_shows_in_the_percentiles_as_computed_from_the_schedule() -> None:
+    """A closed loop sends nothing while it waits, and shows one request in a thousand."""
+    stall = Stall(1500.0, 2000.0)
+    result = echoed(spec(200.0, 5.0), stall)
+    at = result.rows["at_ms"]
+    waited = np.where((at >= stall.at_ms) & (at < 3500.0), 3500.0 - at, 0.0)
+    found = outcomes.percentiles(result.rows["took_us"])
+    for name, share in (("p90_ms", 90.0), ("p99_ms", 99.0), ("p99_9_ms", 99.9)):
+        assert found[name] == pytest.approx(float(np.percentile(waited, share)), rel=0.05, abs=40.0)
+    assert result.lateness.ratio == 1.0 and len(result.rows) == 1000 and not result.faults()
+    closed = outcomes.percentiles(echoed(spec(200.0, 5.0, users=2), stall).rows["took_us"])
+    assert closed["p99_ms"] < 500.0 < found["p99_ms"]
+
+
+def test_a_generator_that_is_too_slow_confesses() -> None:
+    result = echoed(spec(200_000.0, 0.15, late_bound_ms=run.LATE_BOUND_MS))
+    assert result.lateness.sent == 30_000 and result.lateness.p99_ms > run.LATE_BOUND_MS
+    assert any("the sender was late" in fault for fault in result.faults())
+
+
+def test_a_worker_killed_in_mid_run_is_told_and_not_averaged_away() -> None:
+    result = echoed(spec(200.0, 3.0, workers=2, kill=(1, 1500.0)))
+    assert result.lost_workers == 1 and len(result.rows) == 600
+    unsent = result.rows[result.rows["end"] == outcomes.ENDS.index("unsent")]
+    assert 100 < len(unsent) < 220 and set(unsent["number"] % 2) == {1}
+    assert outcomes.reasons(unsent) == {"worker lost": len(unsent)}
+    assert any("never sent" in fault for fault in result.faults()) and "died" in result.faults()[-1]
+
+
+def test_workers_together_send_the_whole_stream_and_a_seed_is_one_stream() -> None:
+    one, two = (echoed(spec(300.0, 1.0, workers=workers)) for workers in (1, 3))
+    assert one.digest == two.digest and one.lateness.ratio == two.lateness.ratio == 1.0
+    for column in ("at_ms", "number", "cls", "department"):
+        assert one.rows[column].tolist() == two.rows[column].tolist()
+
+
+def test_a_stream_too_large_or_empty_is_refused_before_anything_is_sent() -> None:
+    with pytest.raises(ValueError, match="lower rate or a shorter run"):
+        run.play(spec(1e6, 60.0))
+    with pytest.raises(ValueError, match="no request in the whole stream"):
+        run.play(spec(0.1, 1.0))
+
+
+@contextmanager
+def sending(wall: object, *, dialect: object = MessagePackRpc) -> Iterator[tuple[Loop, Sender, bytearray]]:
+    """A sender and an echo stand-in on one loop."""
+    loop, rows = sender.loop(), bytearray()
+    port = free_port()
+    echo = Echo.__new__(Echo)
+    echo.loop, echo.peers = loop, []
+    listener = Listener(loop, ("127.0.0.1", port), echo._accept)
+    orders = spec(200.0, 1.0).stream.orders()
+    made = Sender(
+        loop, orders, (Target("n1", ("127.0.0.1", port)),), ((HABITS["once"], 1.0),), rows.extend,
+        wall=wall, dialect=dialect,  # type: ignore[arg-type]
+    )  # fmt: skip
+    yield loop, made, rows
+    listener.close()
+    for peer in echo.peers:
+        peer.connection.close()
+
+
+def test_a_clock_that_is_set_during_a_run_is_told_and_is_in_no_latency() -> None:
+    began = steady()
+
+    def wall() -> float:
+        return clock() - (3_600_000.0 if steady() - began > 500.0 else 0.0)
+
+    with sending(wall) as (loop, made, rows):
+        made.begin(steady())
+        loop.run(lambda: None)
+    found = outcomes.rows_of(rows)
+    assert len(found) == 200 and outcomes.percentiles(found["took_us"])["p99_9_ms"] < 1000.0
+    told = made.told()
+    assert told.clock_steps == 1 and told.step_ms == pytest.approx(3_600_000.0, abs=100.0)
+    result = run.LoadResult(found, outcomes.lateness(found, 200, LOOSE_MS), 0, (told,), 1.0, "")
+    assert not result.faults() and "clock was set 1 times" in result.notes()[0]
+
+
+class Garbled:
+    """A dialect whose peer does not speak it."""
+
+    def request(self, number: int, method: str, fields: dict[str, str], body: bytes) -> bytes:
+        return MessagePackRpc().request(number, method, fields, body)
+
+    def feed(self, data: bytes) -> list[Told]:
+        raise ValueError("not an answer")
+
+
+def test_an_answer_that_is_none_closes_its_connection_and_every_request_still_ends() -> None:
+    with sending(clock, dialect=Garbled) as (loop, made, rows):
+        made.begin(steady())
+        loop.run(lambda: None)
+    found = outcomes.rows_of(rows)
+    assert len(found) == 200 and outcomes.reasons(found) == {"broken": 200}
+
+
+@pytest.mark.parametrize(
+    "data", [b"\x94\x01\x01\xc0\xc0", b"\x93\x01\x01\xc0", b"\x07", b"\x94\x01\x01\x91\x01\xc0"]
+)
+def test_bytes_that_are_no_answer_raise_one_kind_of_error(data: bytes) -> None:
+    with pytest.raises(ValueError, match="not an answer"):
+        MessagePackRpc().feed(data)
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -116,7 +116,7 @@
     code = (
         "import sys, spindlerelay.__main__ as m, spindlerelay.service\n"
         "heavy = ('click', 'pydantic', 'rich', 'hdrh', 'matplotlib', 'numpy', 'httptools', 'consul',\n"
-        "         'tomllib',\n"
+        "         'tomllib', 'scipy', 'jinja2', 'spindlerelay.observe',\n"
         "         'spindlerelay.cli', 'spindlerelay.lab', 'spindlerelay.consul',\n"
         "         'spindlerelay.config.operator', 'spindlerelay.dependencies')\n"
         "found = [n for n in sys.modules if any(n == h or n.startswith(h + '.') for h in heavy)]\n"
--- /dev/null
+++ b/tests/test_policies.py
@@ -0,0 +1,125 @@
+"""The plain policies do what they are known for, and keep the rules."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from spindlerelay import interface as api
+from spindlerelay.lab.policies.limits import CoDel, Fixed, Gradient
+from spindlerelay.lab.policies.plain import Lossy, Plain
+from tests.driver import KEYED, PLAIN, settings
+
+CONFIG = settings(PLAIN, KEYED)
+
+
+def plain(limit: Fixed | None = None) -> Plain:
+    return Plain(CONFIG, limit or Fixed(1, 2000.0))  # two workers, eight places
+
+
+def kinds(actions: list[api.Action], kind: type) -> list[int]:
+    found: list[Any] = [action for action in actions if isinstance(action, kind)]
+    return [action.id for action in found]
+
+
+def requests(*ids: int, cls: int = 0, **more: float) -> list[api.Event]:
+    return [api.Request(number, cls, budget_ms=6000.0, **more) for number in ids]  # type: ignore[arg-type]
+
+
+def test_a_pool_runs_its_workers_queues_and_turns_the_rest_away() -> None:
+    module = plain()
+    actions = module.step(0.0, requests(*range(1, 13)))
+    assert kinds(actions, api.Run) == [1, 2]
+    assert kinds(actions, api.Refuse) == [9, 10, 11, 12]
+    assert kinds(module.step(10.0, [api.Done(1, api.Outcome.OK, 10.0)]), api.Run) == [3]
+
+
+def test_held_requests_are_let_go_at_their_time() -> None:
+    module = plain()
+    module.step(0.0, requests(1, 2, 3))
+    assert kinds(module.step(5995.0, []), api.Refuse) == [3]
+
+
+def test_a_keyed_request_is_kept_before_it_runs_and_its_repeat_is_reused() -> None:
+    module = plain()
+    actions = module.step(0.0, requests(1, cls=1))
+    order = [type(action) for action in actions if isinstance(action, api.Keep | api.Run)]
+    assert order == [api.Keep, api.Run]
+    repeat = [api.Request(2, 1, budget_ms=6000.0, original=1)]
+    assert kinds(module.step(1.0, list(repeat)), api.Reuse) == [2]
+    module.step(2.0, [api.Done(1, api.Outcome.OK), api.Done(2, api.Outcome.OK)])
+    again = [api.Request(3, 1, budget_ms=6000.0, original=1)]
+    assert kinds(module.step(3.0, list(again)), api.Reuse) == [3]  # within its window
+    late = [api.Request(4, 1, budget_ms=6000.0, original=1)]
+    assert kinds(module.step(20_000.0, [api.Timer(0)]), api.Run) == []
+    assert kinds(module.step(20_100.0, list(late)), api.Refuse) == [4]
+
+
+def test_nothing_that_came_past_the_drains_grace_is_run() -> None:
+    module = plain()
+    assert api.Health(False, True) in module.step(0.0, [api.Drain(4000.0)])
+    assert kinds(module.step(1000.0, requests(1)), api.Run) == [1]
+    assert kinds(module.step(3000.0, requests(2)), api.Refuse) == [2]
+
+
+def test_calls_get_the_time_left_and_failed_ones_end_their_run() -> None:
+    module = plain()
+    module.step(0.0, requests(1, cls=1))
+    call = next(action for action in module.step(1000.0, [api.Needs(1)]) if isinstance(action, api.Call))
+    assert 4900.0 < call.timeout_ms < 5000.0
+    assert kinds(module.step(1100.0, [api.Called(1, api.Outcome.ERROR)]), api.Fail) == [1]
+
+
+def test_the_gradients_limit_falls_with_slow_runs_and_comes_back() -> None:
+    limit = Gradient(4, 2000.0)
+    for _ in range(300):
+        limit.ran(0.0, 100.0, limit.limit())
+    well = limit.limit()
+    for _ in range(30):
+        limit.ran(0.0, 900.0, limit.limit())
+    slow = limit.limit()
+    for _ in range(600):
+        limit.ran(0.0, 100.0, limit.limit())
+    assert slow < 0.75 * well and limit.limit() > 0.9 * well and limit.limit() <= limit.most
+
+
+def test_the_gradient_learns_nothing_where_it_is_not_the_bound() -> None:
+    limit = Gradient(4, 2000.0)
+    before = limit.value
+    for _ in range(100):
+        limit.ran(0.0, 100.0, 1)
+    assert limit.value == before
+
+
+def test_codel_lets_a_short_wait_pass_and_drops_ever_faster_from_a_standing_queue() -> None:
+    limit = CoDel(4, 1000.0)
+    assert not any(limit.drops(at, 50.0, 9) for at in range(0, 5000, 10))
+    dropped = [at for at in range(5000, 12_000, 10) if limit.drops(at, 400.0, 9)]
+    assert 5990 <= dropped[0] <= 6010  # not before it stood for a whole interval
+    gaps = [b - a for a, b in zip(dropped, dropped[1:], strict=False)]
+    assert gaps == sorted(gaps, reverse=True) and gaps[-1] < gaps[0] / 2
+    assert not limit.drops(12_000, 50.0, 9) and not limit.dropping
+
+
+def test_codel_never_drops_the_last_one() -> None:
+    limit = CoDel(4, 1000.0)
+    assert not any(limit.drops(at, 4000.0, 1) for at in range(0, 9000, 10))
+
+
+def test_a_planted_loss_takes_its_share_for_good_and_no_repeat() -> None:
+    module = Lossy(plain(Fixed(2000, 2000.0)), 0.05, 1)
+    actions = module.step(0.0, requests(*range(1, 2001)))
+    lost = [action for action in actions if isinstance(action, api.Refuse)]
+    assert 70 <= len(lost) <= 130 and all(action.last for action in lost)
+    assert len(lost) + len(kinds(actions, api.Run)) == 2000
+    repeats: list[api.Event] = [api.Request(5000 + i, 1, budget_ms=6000.0, original=1) for i in range(200)]
+    assert not any(action.last for action in module.step(1.0, repeats) if isinstance(action, api.Refuse))
+
+
+@pytest.mark.parametrize("event", [api.Gone(1), api.Done(1, api.Outcome.OK)])
+def test_what_is_over_leaves_nothing_behind(event: api.Event) -> None:
+    module = plain()
+    module.step(0.0, requests(1))
+    module.step(1.0, [event, api.Done(1, api.Outcome.OK)])
+    assert not module.works and module.running == 0
--- /dev/null
+++ b/tests/test_report.py
@@ -0,0 +1,163 @@
+"""Reports and the commands round them: one page, no network, verdicts in words, bad input in one line."""
+
+from __future__ import annotations
+
+import csv
+import json
+import re
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from spindlerelay.lab.experiments.matrix import Cell
+from spindlerelay.lab.experiments.pairs import Played
+from spindlerelay.lab.experiments.results import Entry, Results
+from spindlerelay.lab.load import capacity, outcomes
+from spindlerelay.lab.load.outcomes import Outcome
+from spindlerelay.lab.models.traffic import CLASSES
+from spindlerelay.lab.play import Recording
+from spindlerelay.lab.reports import report
+
+ROOT = Path(__file__).parent.parent
+SAMPLES = {
+    "at_ms": [0, 250, 500, 750], "n1 state": ["well", "down", "cold", "well"],
+    "n1 cores": [0.2, 0.0, 0.9, 1.0], "n1 loop": [0.1, 0.1, 0.2, 0.1],
+    "store state": ["well", "well", "troubled", "well"], "store hand": [0, 1, 2, 1],
+    "store slots": [4, 4, 4, 4], "links": [3, 3, 3, 3], "generator": [0.1, 0.2, 0.2, 0.1],
+}  # fmt: skip
+
+
+def recording(worth: float = 1.0, **told: object) -> Recording:
+    """A hundred requests, of which a share is served."""
+    data = b"".join(
+        Outcome(
+            number * 10.0, 0.3, number, 40.0 + number, 1, 1, number % 4,
+            "served" if number < 100 * worth else "refused", "" if number < 100 * worth else "told to wait",
+        ).packed()
+        for number in range(100)
+    )  # fmt: skip
+    base = {
+        "faults": [], "intended": 100, "sent": 100, "late_p99_ms": 0.3, "rules": {}, "sample_ms": 250.0,
+        "samples": SAMPLES, "events": [["crash n1", 250.0, 500.0]], "refusals": {"busy": 3}, "load": 0.7,
+        "nodes": 1, "departments": ["acqua", "rifiuti", "anagrafe", "tributi"],
+    }  # fmt: skip
+    return Recording(outcomes.rows_of(data), base | told)
+
+
+def database(path: Path) -> Results:
+    results = Results(str(path))
+    results.begin("try", ["module", "pool"])
+    for seed in range(1, 7):
+        for variant, worth in (("module", 0.9), ("pool", 0.8 - 0.01 * seed)):
+            made = recording(worth)
+            got = outcomes.worth(made.rows, CLASSES)
+            played = Played(variant, Cell("none", 1, 0.7, seed), {"worth": got, "rules_broken": 0})
+            results.add("try", "code", Entry(f"{variant}{seed}", played, made.packed()))
+    void = Played("pool", Cell("none", 1, 0.7, 9), {}, "the sender was late: <1 s>")
+    results.add("try", "code", Entry("void", void, b""))
+    return results
+
+
+def test_a_page_is_whole_in_itself_and_shows_every_part() -> None:
+    page = report.of_recording("Run <x>", recording()).page()
+    assert not re.findall(r'(?:src|href)="(?!#|data:)[^"]*"', page) and "@import" not in page
+    assert "Run &lt;x&gt;" in page and page.count("<svg") == 2
+    for words in ("Percentiles", "Over time", "By class", "By department", "By outcome", "crash n1", "cold"):
+        assert words in page
+
+
+def test_a_void_run_and_a_broken_rule_stand_at_the_top() -> None:
+    made = report.of_recording("r", recording(faults=["the sender was late"], broken=["lost at n1: x"]))
+    assert made.voids == ["This run is void: the sender was late.", "Rule broken: lost at n1: x"]
+
+
+def test_an_experiments_verdict_is_in_words_with_its_interval_and_void_runs_are_named(tmp_path: Path) -> None:
+    made = report.of_experiment(database(tmp_path / "r.db"), "try")
+    assert len(made.verdicts) == 1 and "pool serves less worth than module" in made.verdicts[0]
+    assert "95% interval -0.1" in made.verdicts[0] and "6 pairs" in made.verdicts[0]
+    assert len(made.voids) == 1 and "the sender was late: <1 s>" in made.voids[0]
+    assert "&lt;1 s&gt;" in made.page()
+    row = made.tables()["comparison"][0]
+    assert row["differs"] == "yes" and row["low"] < row["difference"] < row["high"] < 0
+
+
+def run(*words: str) -> subprocess.CompletedProcess[str]:
+    command = [sys.executable, "-m", "spindlerelay", *words]
+    return subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=100)
+
+
+def test_the_command_writes_page_csv_and_json_that_agree(tmp_path: Path) -> None:
+    database(tmp_path / "r.db").close()
+    page, folder, told = (str(tmp_path / name) for name in ("r.html", "csv", "r.json"))
+    done = run("report", str(tmp_path / "r.db"), "--out", page, "--csv", folder, "--json", told)
+    assert done.returncode == 0 and "pool serves less worth" in done.stdout, done.stderr
+    with (Path(folder) / "by_class.csv").open() as source:
+        rows = list(csv.DictReader(source))
+    tables = json.loads(Path(told).read_text())
+    assert [row["asked"] for row in rows] == [str(row["asked"]) for row in tables["by_class"]]
+    assert "<svg" in Path(page).read_text()
+
+
+@pytest.mark.parametrize(
+    ("words", "told"),
+    [
+        (("report", "nowhere.db"), "nowhere.db: No such file"),
+        (("report", "README.md"), "README.md: neither a recording"),
+        (("load",), "one of --target, --emulator and --echo"),
+        (("load", "--echo", "1"), "--rate: a number of requests a second"),
+        (("load", "--echo", "1", "--rate", "5", "--stall", "2s"), "--stall 2s: expected a length and a time"),
+        (("load", "--target", "node:1", "--rate", "5"), "--target node:1: expected an IPv4 address"),
+        (("load", "--emulator", "2", "--trouble", "crash:9@1s"), "crash:9@1s: node: 9 stands there"),
+        (("load", "--emulator", "2", "--trouble", "crash"), "--trouble crash: expected KIND:NODE@BEGIN"),
+        (("load", "--emulator", "2", "--policy", "tub"), "--policy tub: expected one of module"),
+        (("load", "--echo", "1", "--rate", "5", "--habits", "x"), "'x' is no habit"),
+        (("load", "--echo", "1", "--replay", "nowhere"), "nowhere: No such file"),
+        (("load", "--echo", "1", "--rate", "1e9"), "a lower rate or a shorter run"),
+        (("experiment", "nowhere.toml"), "nowhere.toml: No such file"),
+        (("trace", "show", "README.md"), "README.md:1: not JSON"),
+        (("trace", "import", "README.md", "--out", "x"), "README.md: its name tells no format"),
+    ],
+)
+def test_bad_input_ends_with_one_line_and_status_2(words: tuple[str, ...], told: str) -> None:
+    done = run(*words)
+    assert done.returncode == 2 and told in done.stderr and "Traceback" not in done.stderr, done.stderr
+    assert len(done.stderr.strip().splitlines()) == 1
+
+
+def test_the_command_sends_records_and_replays(tmp_path: Path) -> None:
+    trace, first, second = (tmp_path / name for name in ("t.jsonl", "a.json", "b.json"))
+    base = ("load", "--echo", "1", "--late-bound", "1000")
+    done = run(*base, "--rate", "200", "--seconds", "1", "--capture", str(trace), "--json", str(first))
+    assert done.returncode == 0, done.stdout + done.stderr
+    assert run("trace", "show", str(trace)).returncode == 0
+    done = run(*base, "--replay", str(trace), "--speed", "2", "--json", str(second))
+    one, two = (json.loads(path.read_text()) for path in (first, second))
+    assert one["sent"] == two["sent"] == one["all_in_aim"] > 150
+    trace.write_bytes(trace.read_bytes()[:-30])
+    cut = run("trace", "show", str(trace))
+    assert cut.returncode == 1 and "cut off after" in cut.stdout
+
+
+# What breaks first
+
+
+def at(load: float, worth: float = 1.0, **parts: float) -> capacity.Pressure:
+    return capacity.Pressure(load, 4, worth, {"generator": 0.1, "store": 0.2, **parts})
+
+
+def test_the_part_that_breaks_at_the_least_load_is_named() -> None:
+    runs = [at(1.2, store=1.4, cores=1.1), at(0.6, cores=0.6), at(0.9, 0.97, cores=1.0)]
+    assert capacity.breaks_first(runs) == ("cores", 0.9)
+    assert capacity.nearest(runs) == ("store", 1.4)
+    assert capacity.breaks_first([at(0.6), at(0.9)]) is None
+    assert capacity.noticed([at(0.6), at(0.9, 0.97), at(1.2, 0.8)]) == 1.2
+    assert capacity.noticed([at(0.6)]) is None
+
+
+def test_pressures_are_read_from_a_recording_against_each_parts_bound() -> None:
+    told = recording(late_p99_ms=150.0).told
+    found = capacity.pressure(told, 0.9, 100.0)
+    assert found.parts["generator"] == 1.5 and found.parts["cores"] > 0.9 and found.parts["store"] < 0.6
+    assert found.parts["links"] == pytest.approx(3 / 480) and found.load == 0.7
--- /dev/null
+++ b/tests/test_script.py
@@ -0,0 +1,86 @@
+"""Troubles by script and by seed, and that the stage plays each of them."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+
+from spindlerelay.lab.models import script
+from spindlerelay.lab.models.script import Event
+from spindlerelay.lab.play import Emulation, Recording, emulate, launcher_of, stage_spec
+from spindlerelay.lab.stepped import Clock
+
+
+@pytest.mark.parametrize(
+    ("event", "words"),
+    [
+        (Event("earthquake", 10.0), "kind: 'earthquake'"),
+        (Event("crash", 10.0), "node: 0 stands there; expected a number from 1 to 3"),
+        (Event("slow", 10.0, 100.0, 4), "node: 4"),
+        (Event("burst", 9000.0), "at: 9000 ms stands there; expected a time in the run's 5000 ms"),
+        (Event("pause", 10.0, 0.0, 1), "for: 0 ms"),
+        (Event("slow", 10.0, 100.0, 1, 0.5), "times: 0.5"),
+    ],
+)
+def test_a_bad_trouble_is_told_by_its_key(event: Event, words: str) -> None:
+    assert words in script.faults(event, 3, 5000.0)[0]
+
+
+def test_drawn_troubles_are_sound_of_all_kinds_and_never_undo_one_another() -> None:
+    kinds = Counter[str]()
+    for seed in range(1, 200):
+        events = script.drawn(seed, 4, 3, 20_000.0)
+        assert events == script.drawn(seed, 4, 3, 20_000.0) and len(events) >= 1
+        assert not [line for event in events for line in script.faults(event, 3, 20_000.0)]
+        kinds.update(event.kind for event in events)
+        for one in events:
+            for other in events:
+                if one is not other and one.node and one.node == other.node:
+                    assert one.end_ms <= other.at_ms or other.end_ms <= one.at_ms
+        if any(event.kind == "deploy" for event in events):  # it replaces every node
+            assert not any(event.node for event in events)
+    assert set(kinds) == set(script.KINDS)
+
+
+def test_a_burst_is_a_part_of_the_stream() -> None:
+    calm, burst = (
+        stage_spec(Emulation(seconds=4.0, nodes=2, spacing="paced", events=events)).orders
+        for events in ((), (Event("burst", 1000.0, 1000.0, times=3.0),))
+    )
+    inside = [sum(1000.0 <= order.at < 2000.0 for order in orders) for orders in (calm, burst)]
+    assert inside[1] == pytest.approx(3 * inside[0], abs=2)
+
+
+def test_a_clock_that_is_set_is_the_processs_own() -> None:
+    clock = Clock(2.0)
+    clock.real = lambda: 100.0
+    clock.toggle()
+    assert clock.time() == 102.0
+    clock.toggle()
+    assert clock.time() == 100.0
+    assert launcher_of(Emulation(events=(Event("clock", 1.0, node=1),)))[0] == "spindlerelay.lab.stepped"
+
+
+def states(recording: Recording, node: str) -> list[str]:
+    found: list[str] = recording.told["samples"][f"{node} state"]
+    return found
+
+
+def test_every_trouble_is_played_and_shown_and_no_rule_breaks() -> None:
+    events = (
+        Event("slow", 500.0, 1000.0, 1), Event("crash", 1000.0, 1500.0, 2), Event("pause", 2000.0, 700.0, 3),
+        Event("link", 3000.0, 0.0, 1), Event("store", 3200.0, 1000.0), Event("catalogue", 3400.0, 800.0),
+        Event("deploy", 5000.0, 600.0),
+    )  # fmt: skip
+    found = emulate(Emulation(nodes=3, seconds=7.0, load=0.5, events=events, catalogue=True))
+    assert not found.told["rules"], found.told["broken"]
+    assert "slow" in states(found, "n1") and "paused" in states(found, "n3")
+    assert "down" in states(found, "n2") and "cold" in states(found, "n2")
+    assert "troubled" in found.told["samples"]["store state"]
+    assert all("leaving" in states(found, name) for name in ("n1", "n2", "n3"))
+    assert len(found.rows) == found.told["intended"] == found.told["sent"]
+    again = Recording.unpacked(found.packed())
+    assert again.told == found.told and again.rows.tobytes() == found.rows.tobytes()
+    with pytest.raises(ValueError, match="not a recording"):
+        Recording.unpacked(b"PK nonsense")
--- /dev/null
+++ b/tests/test_traces.py
@@ -0,0 +1,222 @@
+"""Traces: what a capture writes is what a replay reads, and whatever is wrong is told by file and line."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from spindlerelay.lab.load import shapes, traces
+from spindlerelay.lab.load.run import Stream
+from spindlerelay.lab.load.traces import TraceError
+from spindlerelay.node.exchange import Ask
+from spindlerelay.observe import capture, trace
+from spindlerelay.observe.trace import Record
+from spindlerelay.transport.loop import Loop
+from tests.driver import KEYED, PLAIN, settings
+from tests.peers import Program
+
+RECORDS = [
+    Record(0.0, "preview", "acqua", 0.25, 30.0, 3600.0, 20, "ab" * 8),
+    Record(12.5, "order", "tributi", 0.75, 41.5, 4900.0, 40, "cd" * 8, "0f" * 16),
+    Record(80.0, "order", "tributi", 0.75, 41.5, 4820.0, 40, "cd" * 8, "0f" * 16, True),
+]
+
+
+def faults(path: Path, data: bytes, reader: Callable[[str], Any] = traces.read) -> list[str]:
+    path.write_bytes(data)
+    with pytest.raises(TraceError) as caught:
+        reader(str(path))
+    return caught.value.lines
+
+
+def test_a_written_trace_is_read_as_it_was(tmp_path: Path) -> None:
+    path = tmp_path / "t.jsonl"
+    path.write_bytes(traces.written(RECORDS))
+    found = traces.read(str(path))
+    assert found.records == RECORDS and not found.cut
+
+
+def test_a_trace_cut_off_in_its_last_line_is_read_up_to_there_and_says_so(tmp_path: Path) -> None:
+    path, whole = tmp_path / "t.jsonl", traces.written(RECORDS)
+    start = whole.index(b"\n", whole.index(b"tributi")) + 1  # of the third record
+    for size in range(start, len(whole) - len(trace.end(3))):
+        path.write_bytes(whole[:size])
+        found = traces.read(str(path))
+        assert found.records == RECORDS[:2] and str(path) in found.cut and "after 2 requests" in found.cut
+        assert ("bytes into a line" in found.cut) == (size > start)
+    path.write_bytes(whole[: -len(trace.end(3))])
+    assert len(traces.read(str(path)).records) == 3 and "cut off" in traces.read(str(path)).cut
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "words"),
+    [
+        (b'"version":1', b'"version":2', [":1:", "version 2", "reads version 1"]),
+        (b'"format":"spindlerelay-trace"', b'"format":"x"', [":1:", "format should be", "trace import"]),
+        (b'"at":12.5', b'"at":"soon"', [":3: at: 'soon'", "number"]),
+        (b'"at":12.5', b'"at":-1', [":3: at: -1", "at least 0"]),
+        (b'"rank":0.25', b'"rank":1.5', [":2: rank: 1.5", "under 1"]),
+        (b'"class":"preview",', b"", [":2: class: missing"]),
+        (b'"heap"', b'"hepa"', [":2: hepa: no such key", "heap"]),
+        (b"abababababababab", b"the body", [":2: body", "form"]),
+        (b'"bytes":20', b'"bytes":99999', [":2: bytes: 99999", "at most 2048"]),
+        (b'{"at":12.5', b'"at":12.5', [":3: not JSON"]),
+        (b'{"at":12.5', b'[{"at":12.5', [":3:"]),
+        (b'"end":3', b'"end":4', ["3 records, 4 by its last line"]),
+    ],
+)
+def test_each_fault_names_its_line_and_what_would_be_right(
+    tmp_path: Path, old: bytes, new: bytes, words: list[str]
+) -> None:
+    told = "\n".join(faults(tmp_path / "t.jsonl", traces.written(RECORDS).replace(old, new, 1)))
+    assert "t.jsonl" in told and all(word in told for word in words), told
+
+
+def test_all_bad_lines_are_told_at_once_up_to_a_bound(tmp_path: Path) -> None:
+    data = trace.head() + b'{"at":1}\n' * 100
+    assert len(faults(tmp_path / "t.jsonl", data)) == traces.MOST_ERRORS
+
+
+CSV = b"class,at,department,rank\npreview,100,acqua,0.5\norder,350.5,tributi,\n"
+
+
+def test_csv_and_json_lines_are_imported_from_their_first_request_on(tmp_path: Path) -> None:
+    (tmp_path / "t.csv").write_bytes(CSV)
+    (tmp_path / "t.jsonl").write_bytes(b'{"class":"order","at":350.5}\n\n{"class":"preview","at":100}\n')
+    for name, form in (("t.csv", "csv"), ("t.jsonl", "jsonl")):
+        found = traces.imported(str(tmp_path / name), form).records
+        assert [(record.cls, record.at) for record in found] == [("preview", 0.0), ("order", 250.5)]
+
+
+@pytest.mark.parametrize(
+    ("form", "data", "words"),
+    [
+        ("csv", b"when,what\n1,order\n", [":1: the head line should name", "at and class"]),
+        ("csv", CSV.replace(b"350.5", b"late"), [":3: at: 'late'"]),
+        ("csv", CSV.replace(b"tributi,", b"tributi,0.5,7"), [":3:", "past the last column"]),
+        ("csv", CSV + b'order,"12', ["not CSV"]),
+        ("csv", b"at,class\n", ["no request in it"]),
+        ("csv", b"at,class\n1,\xff\n", ["UTF-8"]),
+        ("jsonl", b'{"at":1,"class":"order"}\n{"at":\n', [":2: not JSON"]),
+        ("jsonl", b'{"at":1,"class":"order"}\n7\n', [":2: '7' stands there"]),
+        ("jsonl", b"", ["no request in it"]),
+    ],
+)
+def test_a_bad_import_names_its_line(tmp_path: Path, form: str, data: bytes, words: list[str]) -> None:
+    told = "\n".join(faults(tmp_path / "x", data, lambda path: traces.imported(path, form)))
+    assert all(word in told for word in words), told
+
+
+def test_a_replay_keeps_times_keys_and_equal_bodies_at_its_speed() -> None:
+    found = traces.Trace([*RECORDS, RECORDS[0]._replace(at=100.0)])
+    orders = traces.replayed(found, 2.0, 1)
+    assert [(order.at, order.cls.name, order.department) for order in orders] == [
+        (0.0, "preview", "acqua"), (6.25, "order", "tributi"), (50.0, "preview", "acqua"),
+    ]  # fmt: skip
+    assert orders[1].key == "0f" * 16 and len(orders[1].body) == 40 and orders[0].body == orders[2].body
+    assert [order.number for order in orders] == [0, 1, 2]
+    assert len(traces.replayed(found, 1.0, 1, retries=True)) == 4
+    with pytest.raises(TraceError, match="'stamp' is not known here; known: preview"):
+        traces.replayed(traces.Trace([Record(0.0, "stamp")]), 1.0, 1)
+
+
+def test_a_stream_written_as_a_trace_is_the_same_file_each_time_and_replays_as_itself(tmp_path: Path) -> None:
+    stream = Stream(5, "bursty", shapes.curve("burst", 50.0, 200.0, 3000.0))
+    written, other = stream.written(stream.orders()), Stream(6, "bursty", stream.curve)
+    assert written == stream.written(stream.orders()) != other.written(other.orders())
+    path = tmp_path / "t.jsonl"
+    path.write_bytes(written)
+    again = Stream(5, trace=str(path)).orders()
+    assert [(o.cls, o.department) for o in again] == [(o.cls, o.department) for o in stream.orders()]
+
+
+# Capture on a node
+
+
+def ask(number: int, cls: int = 0, **more: Any) -> Ask:
+    return Ask(f"{number:016x}", cls, 1e12 + number * 10.0, 1e12 + 5000.0, b"body %d" % (number % 2), **more)
+
+
+def captured(path: Path, most: int = 100, size: int = 100_000) -> capture.Capture:
+    named = settings(PLAIN._replace(name="preview"), KEYED._replace(name="order"))
+    return capture.Capture(Loop(), capture.Options(str(path), size, most), named, b"salt")
+
+
+def test_a_capture_is_a_trace_without_bodies_or_keys(tmp_path: Path) -> None:
+    feature = captured(tmp_path / "t")
+    for number in range(4):
+        feature.tap(ask(number, number % 2, dedupe="7f" * 16 if number % 2 else "", held_kb=20.0))
+    feature.close()
+    data, found = (tmp_path / "t").read_bytes(), traces.read(str(tmp_path / "t"))
+    assert b"body" not in data.replace(b'"body":', b"") and b"7f7f" not in data
+    assert [record.at for record in found.records] == [0.0, 10.0, 20.0, 30.0] and not found.cut
+    assert found.records[0].body == found.records[2].body != found.records[1].body
+    assert found.records[1].key == found.records[3].key != ""
+
+
+@pytest.mark.parametrize("bounds", [{"most": 5}, {"size": 700}])
+def test_a_capture_ends_at_its_bound_and_counts_the_rest(tmp_path: Path, bounds: dict[str, int]) -> None:
+    feature = captured(tmp_path / "t", **bounds)
+    for number in range(50):
+        feature.tap(ask(number, held_kb=20.0))
+    feature.close()
+    found = traces.read(str(tmp_path / "t"))
+    assert 0 < len(found.records) < 10 and found.missed == 50 - len(found.records)
+    assert (tmp_path / "t").stat().st_size < 900
+
+
+class Full:
+    """A file on a disk that is full."""
+
+    def write(self, data: bytes) -> int:
+        raise OSError(28, "No space left on device")
+
+    def close(self) -> None:
+        pass
+
+
+def test_a_full_disk_ends_the_capture_and_nothing_else(tmp_path: Path) -> None:
+    feature = captured(tmp_path / "t")
+    feature._file = Full()  # type: ignore[assignment]
+    feature.tap(ask(1, held_kb=20.0))
+    feature._tick()
+    assert not feature.on
+    feature.tap(ask(2, held_kb=20.0))
+    assert not feature._waiting
+    feature.close()
+
+
+class Capturing(Program):
+    """A node with a [capture] table."""
+
+    def __init__(self, folder: Path) -> None:
+        self.operator = folder / "operator.toml"
+        self.operator.write_text('[capture]\npath = "out.jsonl"\n')
+        super().__init__(folder)
+
+    def command(self) -> list[str]:
+        return [sys.executable, "-m", "spindlerelay", "run", "--operator", str(self.operator)]
+
+
+def test_a_node_captures_what_it_reads_and_never_writes_over_a_file(tmp_path: Path) -> None:
+    with Capturing(tmp_path) as node:
+        node.vm.expect("CONNECT", "0")
+        balancer = node.balancer()
+        asked = balancer.ask("00000000000000a1")
+        node.vm.expect("APPLY")
+        node.vm.value("00000000000000a1", b"done")
+        assert balancer.answer(asked) == b"done"
+        node.logs("capture: requests go to")
+        node.terminate()
+        node.process.wait(20)
+    found = traces.read(str(tmp_path / "out.jsonl"))
+    assert [record.cls for record in found.records] == ["preview"] and not found.cut
+    again = Capturing.__new__(Capturing)
+    with pytest.raises(AssertionError, match="out.jsonl exists; name a new file"):
+        Capturing.__init__(again, tmp_path)
+        with again:
+            pass
