Read and tell the faults of files that people write in one place

Cause: the experiment's and the trace's readers had the operator's reading of TOML, its table, its error class and its words for a fault written again beside it, and shared only the last part of a line.

Change: config/schema.py holds them once: Table, FileError, toml, told, keys. Operator, experiment and trace give what is their own: the error's name and what an unknown key should have been. Messages stay as they were.

--- a/spindlerelay/config/operator.py
+++ b/spindlerelay/config/operator.py
@@ -1,20 +1,20 @@
 """The operator's TOML: one schema, checked whole before anything starts.
 
 Every error is told at once, each in one line with file, key, what stands there and what would be right.
-Types and ranges are pydantic's; the words are ours. Without a file, or without a table, a feature is off."""
+Without a file, or without a table, a feature is off."""
 
 from __future__ import annotations
 
 import difflib
 import re
 import socket
-import tomllib
 from pathlib import Path
 from typing import Annotated, Any, Literal
 
-from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, ValidationError
+from pydantic import BeforeValidator, Field, ValidationError
 
-from spindlerelay.config.platform import ConfigError
+from spindlerelay.config import schema
+from spindlerelay.config.schema import FileError, Table
 from spindlerelay.dependencies import table as dependencies
 from spindlerelay.interface import Settings
 
@@ -67,12 +67,6 @@
 Text = Annotated[str, Field(max_length=512)]
 
 
-class Table(BaseModel):
-    """A table takes no unknown key and is not changed after it was read."""
-
-    model_config = ConfigDict(extra="forbid", frozen=True, strict=True)
-
-
 class LogTable(Table):
     """How the log is written."""
 
@@ -162,27 +156,17 @@
         return dependencies.Table(tuple(each.spec() for each in self.dependency))
 
 
-class OperatorError(ConfigError):
-    """All that is wrong with a file, a line each."""
-
-    def __init__(self, lines: list[str]) -> None:
-        super().__init__("\n".join(lines))
-        self.lines = lines
+class OperatorError(FileError):
+    """All that is wrong with the operator's file."""
 
 
 def read(path: str) -> Operator:
     """The operator's file. OperatorError holds a line for every fault."""
-    try:
-        tree = tomllib.loads(Path(path).read_text(encoding="utf-8"))
-    except OSError as error:
-        raise OperatorError([f"{path}: {error.strerror}"]) from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise OperatorError([f"{path}: not TOML: {error}"]) from None
+    tree = schema.toml(path, OperatorError)
     try:
         operator = Operator.model_validate(tree)
     except ValidationError as error:
-        faults = error.errors(include_url=False)[:MOST_ERRORS]
-        raise OperatorError([_told(path, dict(fault)) for fault in faults]) from None
+        raise OperatorError(schema.told(path, error, _unknown)[:MOST_ERRORS]) from None
     _refuse(path, dependencies.shape_faults(operator.table()))
     base = Path(path).resolve().parent
     table = operator.consul
@@ -212,39 +196,11 @@
         raise OperatorError([f"{path}: {key}: {text}" for key, text in faults[:MOST_ERRORS]])
 
 
-def _told(path: str, fault: dict[str, Any]) -> str:
-    """One fault in one line."""
-    where, kind = fault["loc"], str(fault["type"])
-    key = ".".join(str(part) for part in where if part != "[key]")
-    if kind == "missing":
-        return f"{path}: {key}: missing; it must be set"
-    if kind == "extra_forbidden":
-        names = _names(where[:-1])
-        near = difflib.get_close_matches(str(where[-1]), names, 1)
-        hint = f"did you mean {near[0]}?" if near else f"known here: {', '.join(names)}"
-        return f"{path}: {key}: no such key; {hint}"
-    stands = repr(fault["input"])
-    return f"{path}: {key}: {stands[:60]} stands there; expected {wanted(kind, fault)}"
-
-
-def wanted(kind: str, fault: dict[str, Any]) -> str:
-    """What would be right in place of a value, from pydantic's word for what is wrong with it."""
-    context = fault.get("ctx", {})
-    if kind == "value_error":
-        return str(context.get("error", fault["msg"]))
-    if kind == "greater_than_equal":
-        return f"a number of at least {context['ge']:g}"
-    if kind == "less_than_equal":
-        return f"a number of at most {context['le']:g}"
-    if kind == "greater_than":
-        return f"a number above {context['gt']:g}"
-    if kind == "less_than":
-        return f"a number under {context['lt']:g}"
-    if kind == "literal_error":
-        return f"one of {context['expected']}"
-    if kind == "string_pattern_mismatch":
-        return f"text of the form {context['pattern']}"
-    return str(fault["msg"]).removeprefix("Input should be ").lower()
+def _unknown(where: tuple[Any, ...]) -> str:
+    """What a key that no table knows should have been."""
+    names = _names(where[:-1])
+    near = difflib.get_close_matches(str(where[-1]), names, 1)
+    return f"did you mean {near[0]}?" if near else f"known here: {', '.join(names)}"
 
 
 def _names(where: tuple[Any, ...]) -> list[str]:
@@ -256,4 +212,4 @@
         field = model.model_fields.get(part) if hasattr(model, "model_fields") else None
         kinds = getattr(field.annotation, "__args__", (field.annotation,)) if field else ()
         model = next((kind for kind in kinds if isinstance(kind, type) and issubclass(kind, Table)), None)
-    return sorted(field.alias or name for name, field in model.model_fields.items()) if model else []
+    return schema.keys(model) if model else []
--- a/spindlerelay/lab/experiments/matrix.py
+++ b/spindlerelay/lab/experiments/matrix.py
@@ -6,14 +6,14 @@
 from __future__ import annotations
 
 import hashlib
-import tomllib
-from pathlib import Path
 from typing import Annotated, Any, NamedTuple
 
 import ujson
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import Field, ValidationError
 
-from spindlerelay.config.operator import Duration, wanted
+from spindlerelay.config import schema
+from spindlerelay.config.operator import Duration
+from spindlerelay.config.schema import FileError, Table
 from spindlerelay.lab.load import shapes
 from spindlerelay.lab.models import script
 from spindlerelay.lab.models.balancer import mixed
@@ -26,19 +26,11 @@
 Word = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,40}$")]
 
 
-class ExperimentError(Exception):
-    """What is wrong with a file, a line each."""
+class ExperimentError(FileError):
+    """All that is wrong with an experiment's file."""
 
-    def __init__(self, lines: list[str]) -> None:
-        super().__init__("\n".join(lines))
-        self.lines = lines
 
-
-class _Table(BaseModel):
-    model_config = ConfigDict(extra="forbid", frozen=True, strict=True)
-
-
-class TroubleTable(_Table):
+class TroubleTable(Table):
     """One event of a story; times with their unit."""
 
     kind: str
@@ -51,7 +43,7 @@
         return Event(self.kind, self.at, self.lasts, self.node, self.times)
 
 
-class StoryTable(_Table):
+class StoryTable(Table):
     """Troubles by script, and so many more drawn from each run's seed."""
 
     name: Word
@@ -59,7 +51,7 @@
     drawn: Annotated[int, Field(ge=0, le=20)] = 0
 
 
-class VariantTable(_Table):
+class VariantTable(Table):
     """What is compared: a policy in the module's place, another revision, or other settings."""
 
     name: Word
@@ -69,7 +61,7 @@
     habits: str = ""
 
 
-class Experiment(_Table):
+class Experiment(Table):
     """The whole file. Loads are parts of the fleet's capacity."""
 
     name: Word
@@ -114,29 +106,18 @@
 
 def read(path: str) -> Experiment:
     """An experiment's file; ExperimentError holds a line for every fault."""
-    try:
-        tree = tomllib.loads(Path(path).read_text(encoding="utf-8"))
-    except OSError as error:
-        raise ExperimentError([f"{path}: {error.strerror}"]) from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise ExperimentError([f"{path}: not TOML: {error}"]) from None
+    tree = schema.toml(path, ExperimentError)
     try:
         found = Experiment.model_validate(tree)
     except ValidationError as error:
-        wrong = [_told(path, dict(fault)) for fault in error.errors(include_url=False)]
-        raise ExperimentError(wrong) from None
+        raise ExperimentError(schema.told(path, error, _unknown)) from None
     if wrong := [f"{path}: {line}" for line in faults(found)]:
         raise ExperimentError(wrong)
     return found
 
 
-def _told(path: str, fault: dict[str, Any]) -> str:
-    key, kind = ".".join(map(str, fault["loc"])), str(fault["type"])
-    if kind == "missing":
-        return f"{path}: {key}: missing; it must be set"
-    if kind == "extra_forbidden":
-        return f"{path}: {key}: no such key; docs/experiments.md lists them"
-    return f"{path}: {key}: {repr(fault['input'])[:60]} stands there; expected {wanted(kind, fault)}"
+def _unknown(where: tuple[Any, ...]) -> str:
+    return "docs/experiments.md lists them"
 
 
 def faults(found: Experiment) -> list[str]:
--- a/spindlerelay/lab/load/traces.py
+++ b/spindlerelay/lab/load/traces.py
@@ -12,7 +12,8 @@
 import ujson
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from spindlerelay.config.operator import wanted
+from spindlerelay.config import schema
+from spindlerelay.config.schema import FileError
 from spindlerelay.lab.models import traffic
 from spindlerelay.lab.models.machine import Plan
 from spindlerelay.lab.models.traffic import ClassSpec, Order
@@ -24,12 +25,8 @@
 DAY_MS = 86_400_000.0
 
 
-class TraceError(Exception):
-    """What is wrong with a file, a line each."""
-
-    def __init__(self, lines: list[str]) -> None:
-        super().__init__("\n".join(lines))
-        self.lines = lines
+class TraceError(FileError):
+    """All that is wrong with a trace, or with what should become one."""
 
 
 class Trace(NamedTuple):
@@ -65,18 +62,8 @@
     )  # fmt: skip
 
 
-def _faults(where: str, error: ValidationError) -> Iterator[str]:
-    for fault in error.errors(include_url=False):
-        key = ".".join(map(str, fault["loc"]))
-        kind = str(fault["type"])
-        if kind == "missing":
-            yield f"{where}: {key}: missing; it must be set"
-        elif kind == "extra_forbidden":
-            known = ", ".join(sorted(field.alias or name for name, field in _Line.model_fields.items()))
-            yield f"{where}: {key}: no such key; known here: {known}"
-        else:
-            stands = repr(fault["input"])[:60]
-            yield f"{where}: {key}: {stands} stands there; expected {wanted(kind, dict(fault))}"
+def _unknown(where: tuple[Any, ...]) -> str:
+    return f"known here: {', '.join(schema.keys(_Line))}"
 
 
 class _Gathered:
@@ -91,7 +78,7 @@
         try:
             record = _record(told)
         except ValidationError as error:
-            self.errors += _faults(f"{self.path}:{number}", error)
+            self.errors += schema.told(f"{self.path}:{number}", error, _unknown)
             return
         self.records.append(record)
 
