Build requests, hashes of arrivals and policy names once, and drop state nobody reads

Cause: what the load tool added stood beside its twins. The fields of a request were built in the stage and in the sender; the hash of the arrivals in two modules; departments' names and numbers in nine places; breaking a link in restart and cut, closing lanes in close and cut; an emulated run decoded its rows twice, and the capture's stream was derived from the fleet by a second path. Experiments had a weaker check of a policy's name than the load command: 'pool+lossy5' was taken and failed when its node started.

Change: dialects.fields_of, Way.marked, Stream.digest, traffic.DEPARTMENT_NAMES and the two indexes, Row.where, policies.known, each called from both sides; stream_of derives the capacity itself. Dropped: Sender.done, counts of connections and strays that nobody read, LoadResult.seconds, a service name in recordings. bench.capacity prints the load at which residents notice, which was computed and tested but shown nowhere. The one thing that acts otherwise: a policy's name with a wrong suffix is refused when the experiment's file is read.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -34,6 +34,8 @@
             print(f"{count:3} nodes, load {load:.2f} ({rate:.0f}/s): worth {worth:.3f}; {parts}", flush=True)
         first, part = capacity.breaks_first(runs), capacity.nearest(runs)
         told = f"{first[0]} breaks first, at {first[1]:g}" if first else "nothing breaks"
+        seen = capacity.noticed(runs)
+        told += f"; residents notice at {seen:g}" if seen else "; nobody notices"
         print(f"{count:3} nodes: {told}; at the top {part[0]} is at {part[1]:.2f} of its bound", flush=True)
 
 
--- a/spindlerelay/cli/experiment.py
+++ b/spindlerelay/cli/experiment.py
@@ -67,7 +67,6 @@
     for line in trouble:
         console.print(line)
     for row in compared(results.played(found.name), results.variants(found.name)):
-        where = f"{row.story}, {row.nodes} nodes, load {row.load:g}: " if row.story else "over all: "
-        console.print(where + row.interval.words(found.variant[0].name, row.variant))
+        console.print(f"{row.where or 'over all'}: " + row.interval.words(found.variant[0].name, row.variant))
     results.close()
     return 1 if trouble else 0
--- a/spindlerelay/cli/load.py
+++ b/spindlerelay/cli/load.py
@@ -13,6 +13,7 @@
 
 from spindlerelay.cli import Fault, said
 from spindlerelay.config.operator import address, duration
+from spindlerelay.lab import policies
 from spindlerelay.lab.load import outcomes, run, shapes, traces
 from spindlerelay.lab.load.run import LoadResult, LoadSpec, Stream
 from spindlerelay.lab.load.sender import Target
@@ -20,7 +21,7 @@
 from spindlerelay.lab.models.balancer import HABITS, mixed
 from spindlerelay.lab.models.script import Event
 from spindlerelay.lab.peers.echo import Stall
-from spindlerelay.lab.play import Emulation, Recording, emulate
+from spindlerelay.lab.play import Emulation, Recording, emulate, stream_of
 from spindlerelay.lab.stage import free_port
 from spindlerelay.service import log_to_stderr
 
@@ -134,7 +135,7 @@
         "sent": late.sent, "late_p99_ms": round(late.p99_ms, 3), "late_most_ms": round(late.most_ms, 2),
         "faults": result.faults(), "notes": result.notes(), "digest": result.digest,
         "lost_workers": result.lost_workers, "clock_steps": sum(each.clock_steps for each in result.told),
-        "departments": [name for name, _ in traffic.DEPARTMENTS], "rules": {},
+        "departments": list(traffic.DEPARTMENT_NAMES), "rules": {},
     }  # fmt: skip
     return Recording(result.rows, told)
 
@@ -148,10 +149,8 @@
             raise Fault(f"--trouble {text}: {wrong[0]}")
     if given["workers"] != 1 or given["users"]:
         raise Fault("--workers and --users are not for --emulator: its one stage sends, and waits for nobody")
-    from spindlerelay.lab.policies.__main__ import NAMES, known
-
-    if not known(given["policy"]):
-        raise Fault(f"--policy {given['policy']}: expected one of {', '.join(NAMES)}")
+    if not policies.known(given["policy"]):
+        raise Fault(f"--policy {given['policy']}: expected one of {', '.join(policies.NAMES)}")
     stream = None
     if given["rate"] > 0.0 or given["replay"]:
         stream = _stream(given, given["rate"], given["to_rate"])
@@ -161,10 +160,7 @@
         stream=stream,
     )  # fmt: skip
     if given["capture"]:
-        from spindlerelay.lab.play import stream_of
-        from spindlerelay.lab.stage import fleet
-
-        _captured(given, stream_of(spec, traffic.capacity(list(fleet(spec.nodes, 1.0)))))
+        _captured(given, stream_of(spec))
     return emulate(spec)
 
 
@@ -176,7 +172,7 @@
 def flat(recording: Recording) -> dict[str, Any]:
     """A run's figures by flat keys."""
     told, rows = recording.told, recording.rows
-    names = [name for name, _ in traffic.DEPARTMENTS]
+    names = list(traffic.DEPARTMENT_NAMES)
     found: dict[str, Any] = {
         "worth": round(outcomes.worth(rows, traffic.CLASSES), 5),
         "sent_ratio": round(told["sent"] / max(1, told["intended"]), 6), "void": bool(recording.faults()),
@@ -198,7 +194,7 @@
 
 def _shown(recording: Recording, given: dict[str, Any]) -> int:
     console, told = Console(), recording.told
-    names = [name for name, _ in traffic.DEPARTMENTS]
+    names = list(traffic.DEPARTMENT_NAMES)
     for by in ("class", "outcome"):
         table = Table(title=f"by {by}", box=SIMPLE, pad_edge=False)
         table.add_column(by)
--- a/spindlerelay/lab/drills/load.py
+++ b/spindlerelay/lab/drills/load.py
@@ -190,7 +190,7 @@
     return merged
 
 
-LEAST = ("_ratio", "_told", "_confessed", "_same", "_accounted", "_void_told", "_per_s", "killed_void")
+LEAST = ("_ratio", "_told", "_confessed", "_same", "_accounted", "_per_s", "killed_void")
 WANTED = {
     "one_sent_ratio": 1.0, "four_sent_ratio": 1.0, "fleet_sent_ratio": 1.0, "too_fast_confessed": 1,
     "killed_workers_told": 1, "killed_all_accounted": 1, "killed_void": 1, "clock_steps_told": 1,
--- a/spindlerelay/lab/experiments/matrix.py
+++ b/spindlerelay/lab/experiments/matrix.py
@@ -14,12 +14,13 @@
 from spindlerelay.config import schema
 from spindlerelay.config.operator import Duration
 from spindlerelay.config.schema import FileError, Table
+from spindlerelay.lab import policies
 from spindlerelay.lab.load import shapes
 from spindlerelay.lab.models import script
 from spindlerelay.lab.models.balancer import mixed
 from spindlerelay.lab.models.script import Event
-from spindlerelay.lab.play import MODULE, Emulation
-from spindlerelay.lab.policies.limits import LIMITS
+from spindlerelay.lab.play import Emulation
+from spindlerelay.lab.policies import MODULE
 
 MOST_RUNS = 20_000
 MOST_NODES = 64
@@ -138,8 +139,8 @@
     for kind, names in named.items():
         told += [f"{kind}: {name!r} stands twice; names should differ" for name in _twice(names)]
     for i, variant in enumerate(found.variant):
-        if variant.policy.partition("+")[0] not in (MODULE, *LIMITS):
-            told.append(_known(f"variant.{i}.policy", variant.policy, (MODULE, *LIMITS)))
+        if not policies.known(variant.policy):
+            told.append(_known(f"variant.{i}.policy", variant.policy, policies.NAMES))
     for i, story in enumerate(found.story):
         for j, trouble in enumerate(story.trouble):
             wrong = script.faults(trouble.event(), min(found.nodes), found.seconds * 1000.0)
--- a/spindlerelay/lab/experiments/pairs.py
+++ b/spindlerelay/lab/experiments/pairs.py
@@ -94,6 +94,11 @@
     base: float
     interval: Interval
 
+    @property
+    def where(self) -> str:
+        """Story, size and load in words; empty for the row over all."""
+        return f"{self.story}, {self.nodes} nodes, load {self.load:g}" if self.story else ""
+
 
 def compared(played: Sequence[Played], variants: Sequence[str]) -> list[Row]:
     """Each variant against the first: over all, then by story, size and load."""
--- a/spindlerelay/lab/experiments/runner.py
+++ b/spindlerelay/lab/experiments/runner.py
@@ -50,7 +50,6 @@
     return found.at_once or max(1, int((os.cpu_count() or 1) / each))
 
 
-
 def resolved(found: Experiment) -> Experiment:
     """With commits in place of the names of revisions: a branch moves on. RevisionError where one is gone."""
     variants = [
--- a/spindlerelay/lab/load/run.py
+++ b/spindlerelay/lab/load/run.py
@@ -59,6 +59,10 @@
         salt = f"seed {self.seed}".encode()
         return traces.written(traces.record_of(order, salt) for order in orders)
 
+    def digest(self, orders: Sequence[Order]) -> str:
+        """Of the arrivals, byte for byte as a trace would hold them."""
+        return blake2b(self.written(orders), digest_size=8).hexdigest()
+
 
 class LoadSpec(NamedTuple):
     """``users`` above 0 sends as a closed loop. ``kill`` ends a worker in mid-run: number and ms."""
@@ -77,7 +81,6 @@
     lateness: Lateness
     lost_workers: int
     told: tuple[Told, ...]
-    seconds: float
     digest: str  # of the stream
 
     def faults(self) -> list[str]:
@@ -147,7 +150,6 @@
     orders = spec.stream.orders()
     if not orders:
         raise ValueError("no request in the whole stream; a higher rate or a longer run is needed")
-    digest = blake2b(spec.stream.written(orders), digest_size=8).hexdigest()
     workers = []
     try:
         for number in range(spec.workers):
@@ -171,14 +173,13 @@
             worker.process.join()
             worker.pipe.close()
     rows = outcomes.joined(parts)
-    names = {cls.name: index for index, cls in enumerate(traffic.CLASSES)}
-    departments = {name: index for index, (name, _) in enumerate(traffic.DEPARTMENTS)}
-    gone = outcomes.missing(
-        rows, [(order.at, names[order.cls.name], departments[order.department]) for order in orders]
-    )
-    rows = outcomes.joined([rows, gone])
+    schedule = [
+        (order.at, traffic.CLASS_INDEX[order.cls.name], traffic.DEPARTMENT_INDEX[order.department])
+        for order in orders
+    ]
+    rows = outcomes.joined([rows, outcomes.missing(rows, schedule)])
     late = outcomes.lateness(rows, len(orders), spec.late_bound_ms)
-    return LoadResult(rows, late, lost, tuple(told), orders[-1].at / 1000.0, digest)
+    return LoadResult(rows, late, lost, tuple(told), spec.stream.digest(orders))
 
 
 def _ready(worker: _Worker) -> None:
--- a/spindlerelay/lab/load/sender.py
+++ b/spindlerelay/lab/load/sender.py
@@ -16,7 +16,7 @@
 from spindlerelay.lab.models.balancer import Balancer, Habit, dealt
 from spindlerelay.lab.models.traffic import Order
 from spindlerelay.lab.models.way import Answer, Next, Way
-from spindlerelay.lab.peers.dialects import Dialect, MessagePackRpc
+from spindlerelay.lab.peers.dialects import Dialect, MessagePackRpc, fields_of
 from spindlerelay.lab.peers.lanes import Lanes
 from spindlerelay.transport.loop import Loop, clock, steady
 
@@ -37,11 +37,8 @@
 class Told(NamedTuple):
     """What a worker knows beside its rows."""
 
-    sent: int
     clock_steps: int
     step_ms: float  # the widest
-    connections: int
-    strays: int
 
 
 class Sender:
@@ -69,17 +66,14 @@
         for balancer in self.balancers:
             balancer.learn([Instance(name, address, "passing", 100) for name, address in addresses.items()])
         self.lanes = [
-            Lanes(loop, addresses.__getitem__, _nothing, self._stray, dialect, OPEN_EACH) for _ in habits
+            Lanes(loop, addresses.__getitem__, _nothing, _nothing, dialect, OPEN_EACH) for _ in habits
         ]
-        self.departments = {name: index for index, (name, _) in enumerate(traffic.DEPARTMENTS)}
-        self.classes = {cls.name: index for index, cls in enumerate(traffic.CLASSES)}
         self.started = self._drift = self.step_ms = 0.0
-        self.sent = self.clock_steps = self.connections = self.strays = self.open = 0
+        self.sent = self.clock_steps = self.open = 0
         self._next = 0
         self._ways: dict[int, deque[_Try]] = {}  # by class: they fall due in order
         self._queues: list[deque[Order]] = []
         self._rows = bytearray()
-        self.done = False
 
     def begin(self, started: float) -> None:
         """``started`` on the loop's clock, hardly in the future."""
@@ -117,7 +111,7 @@
         self.sent, self.open = self.sent + 1, self.open + 1
         way = Way(self.balancers[index], asked + order.cls.due_ms, order.rank, bool(order.key))
         of = _Try(order, way, index, asked, late, user)
-        self._ways.setdefault(self.classes[order.cls.name], deque()).append(of)
+        self._ways.setdefault(traffic.CLASS_INDEX[order.cls.name], deque()).append(of)
         self._follow(of, way.next_try(now))
 
     def _follow(self, of: _Try, follows: Next) -> None:
@@ -132,19 +126,12 @@
 
     def _ask(self, of: _Try, node: str) -> None:
         order, way, now, wall = of.order, of.way, self.loop.now(), self.wall()
-        fields = {
-            "call": f"{self.random.getrandbits(64):016x}", "recv": f"{wall:.0f}", "src": str(of.balancer),
-            "org": order.department, "ttl": str(max(1, round(way.due - now))),
-            "heap": f"{order.kb:.1f}", "crit": f"{order.rank:.4f}",
-        }  # fmt: skip
-        if way.number > 1 and way.balancer.habit.marks:
-            fields["rep"] = "1"
-        if order.key:
-            fields["dedupe"] = order.key
+        call = f"{self.random.getrandbits(64):016x}"
+        fields = fields_of(order, call, of.balancer, wall, way.due - now, way.marked(way.number))
         if soon := way.copy_after():
             self.loop.after(soon, lambda: self._follow(of, way.next_try(self.loop.now())))
         told = lambda answer: self._answered(of, node, answer)  # noqa: E731
-        self.lanes[of.balancer].ask(node, fields["call"], order.cls.name, fields, order.body, told)
+        self.lanes[of.balancer].ask(node, call, order.cls.name, fields, order.body, told)
 
     def _answered(self, of: _Try, node: str, answer: Answer) -> None:
         self._follow(of, of.way.answered(self.loop.now(), node, answer))
@@ -154,15 +141,12 @@
         self.open -= 1
         took = self.loop.now() - of.asked
         self._rows += Outcome(
-            order.at, of.late, order.number, took, of.way.number, self.classes[order.cls.name],
-            self.departments[order.department], follows.end, follows.reason,
+            order.at, of.late, order.number, took, of.way.number, traffic.CLASS_INDEX[order.cls.name],
+            traffic.DEPARTMENT_INDEX[order.department], follows.end, follows.reason,
         ).packed()  # fmt: skip
         if of.user >= 0:
             self._user(of.user)
 
-    def _stray(self, node: str, msgid: int) -> None:
-        self.strays += 1
-
     def _sweep(self) -> None:
         """Give up what nobody answers, look at the clocks, hand the rows on, and end when all is over."""
         now = self.loop.now()
@@ -174,7 +158,6 @@
         if abs(drift - self._drift) > STEP_MS:
             self.clock_steps, self.step_ms = self.clock_steps + 1, max(self.step_ms, abs(drift - self._drift))
         self._drift = drift
-        self.connections = max(self.connections, sum(lanes.count() for lanes in self.lanes))
         for lanes in self.lanes:
             lanes.tick(now)
         if self._rows:
@@ -183,13 +166,12 @@
         if self.sent < len(self.orders) or self.open:
             self.loop.after(SWEEP_MS, self._sweep)
             return
-        self.done = True
         for lanes in self.lanes:
             lanes.close()
         self.loop.running = False
 
     def told(self) -> Told:
-        return Told(self.sent, self.clock_steps, self.step_ms, self.connections, self.strays)
+        return Told(self.clock_steps, self.step_ms)
 
 
 class _Try(NamedTuple):
@@ -201,8 +183,8 @@
     user: int
 
 
-def _nothing(call: str) -> None:
-    """Nobody has to know that a request was written."""
+def _nothing(*_: object) -> None:
+    """No checker has to know that a request was written, or that an answer came too late to count."""
 
 
 def loop() -> Loop:
--- a/spindlerelay/lab/load/traces.py
+++ b/spindlerelay/lab/load/traces.py
@@ -222,7 +222,6 @@
     by_name = {cls.name: cls for cls in classes}
     if unknown := sorted({record.cls for record in found.records} - set(by_name)):
         raise TraceError([f"class {unknown[0]!r} is not known here; known: {', '.join(by_name)}"])
-    departments = [name for name, _ in traffic.DEPARTMENTS]
     orders: list[Order] = []
     for record in found.records:
         if record.retry and not retries:
@@ -232,7 +231,8 @@
         drawn = traffic.order_of(rng, record.at / speed, number, classes, cls)
         body = bytes.fromhex(record.body or f"{number:016x}")
         whole = (body * (record.size // max(1, len(body)) + 1))[: record.size]
-        name = record.department if record.department in departments else drawn.department
+        known = record.department in traffic.DEPARTMENT_INDEX
+        name = record.department if known else drawn.department
         orders.append(drawn._replace(
             department=name, rank=record.rank, kb=record.heap, body=whole,
             plan=Plan(drawn.plan.parts, record.heap),
--- a/spindlerelay/lab/models/traffic.py
+++ b/spindlerelay/lab/models/traffic.py
@@ -35,6 +35,9 @@
     ClassSpec("order", 0.32, 330.0, 0.9, 1900.0, 4900.0, 5.0, 0.2, True, 1.0, 0.0),
 )
 DEPARTMENTS = (("acqua", 0.28), ("rifiuti", 0.28), ("anagrafe", 0.26), ("tributi", 0.18))
+DEPARTMENT_NAMES = tuple(name for name, _ in DEPARTMENTS)
+DEPARTMENT_INDEX = {name: index for index, name in enumerate(DEPARTMENT_NAMES)}
+CLASS_INDEX = {spec.name: index for index, spec in enumerate(CLASSES)}
 MEAN_WORK = sum(spec.share * spec.work for spec in CLASSES)
 KEY_WINDOW_MS = 14_841.0
 
--- a/spindlerelay/lab/models/way.py
+++ b/spindlerelay/lab/models/way.py
@@ -114,6 +114,10 @@
             return habit.copy_ms
         return habit.hasty_ms
 
+    def marked(self, number: int) -> bool:
+        """Whether its try of this number, from 1, tells that it is a further one."""
+        return number > 1 and self.balancer.habit.marks
+
     def expire(self) -> Next:
         """Its time is over without an answer."""
         return WAIT if self.over else self._ended("lost", "no answer")
--- a/spindlerelay/lab/peers/dialects.py
+++ b/spindlerelay/lab/peers/dialects.py
@@ -8,6 +8,7 @@
 
 import msgpack
 
+from spindlerelay.lab.models.traffic import Order
 from spindlerelay.lab.models.way import Answer
 
 MOST_BUFFER = 1 << 20  # bytes of one connection that are not whole messages yet
@@ -20,6 +21,21 @@
     answer: Answer = Answer("refused")
 
 
+def fields_of(
+    order: Order, call: str, balancer: int, recv: float, left_ms: float, marked: bool
+) -> dict[str, str]:
+    """What a balancer says of a request beside its body: it came at ``recv`` Unix ms and may wait so long."""
+    fields = {
+        "call": call, "recv": f"{recv:.0f}", "src": str(balancer), "org": order.department,
+        "ttl": str(max(1, round(left_ms))), "heap": f"{order.kb:.1f}", "crit": f"{order.rank:.4f}",
+    }  # fmt: skip
+    if marked:
+        fields["rep"] = "1"
+    if order.key:
+        fields["dedupe"] = order.key
+    return fields
+
+
 class Dialect(Protocol):
     """One connection's state. ``feed`` raises ValueError for what is not the protocol."""
 
--- a/spindlerelay/lab/peers/interpreter.py
+++ b/spindlerelay/lab/peers/interpreter.py
@@ -45,9 +45,7 @@
         self.machine, self.connected = machine, False
         self._notices.clear()
         self._number = 0
-        link, self._link = self._link, None
-        if link:
-            link.close()
+        self.cut()
 
     def cut(self) -> None:
         """The link breaks; what runs goes on, and notices are kept for the next link."""
--- a/spindlerelay/lab/peers/lanes.py
+++ b/spindlerelay/lab/peers/lanes.py
@@ -163,6 +163,5 @@
 
     def close(self) -> None:
         self.waiting.clear()
-        for lanes in list(self.lanes.values()):
-            for lane in list(lanes):
-                lane.connection.close()
+        for node in list(self.lanes):
+            self.cut(node)
--- a/spindlerelay/lab/play.py
+++ b/spindlerelay/lab/play.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import io
 import resource
 from collections.abc import Sequence
@@ -14,22 +13,22 @@
 import numpy as np
 import ujson
 
-from spindlerelay.lab.load import outcomes, shapes, traces
+from spindlerelay.lab.load import outcomes, shapes
 from spindlerelay.lab.load.outcomes import Rows
 from spindlerelay.lab.load.run import Stream
 from spindlerelay.lab.models import script, traffic
-from spindlerelay.lab.models.balancer import Habit, mixed
+from spindlerelay.lab.models.balancer import mixed
 from spindlerelay.lab.models.script import Event
 from spindlerelay.lab.models.troubles import WELL, Trouble
+from spindlerelay.lab.policies import MODULE
 from spindlerelay.lab.procfs import cpu_ms
 from spindlerelay.lab.scenario import Scenario
-from spindlerelay.lab.stage import SERVICE, Stage, StageSpec, fleet
+from spindlerelay.lab.stage import Stage, StageSpec, fleet
 
 SAMPLE_MS = 250.0
 WARM_UP_MS = 4000.0
 LATE_BOUND_MS = 100.0  # of the stage's own sending: past it too few cores played too many nodes
 STORE = "store"
-MODULE = "module"
 
 
 class Emulation(NamedTuple):
@@ -80,10 +79,11 @@
         return list(self.told["faults"])
 
 
-def stream_of(spec: Emulation, capacity: float) -> Stream:
+def stream_of(spec: Emulation) -> Stream:
     """The stream of a run, bursts included."""
     if spec.stream:
         return spec.stream
+    capacity = traffic.capacity(list(fleet(spec.nodes, WARM_UP_MS)))
     top = (spec.to_load or spec.load) * capacity
     line = shapes.curve(spec.curve, spec.load * capacity, top, spec.length_ms())
     for event in spec.events:
@@ -92,11 +92,6 @@
     return Stream(spec.seed, spec.spacing, line)
 
 
-def _habits(text: str) -> tuple[tuple[Habit, ...], tuple[float, ...]]:
-    found = mixed(text)
-    return tuple(habit for habit, _ in found), tuple(share for _, share in found)
-
-
 class Player(Scenario):
     """The script's events, and samples of what is to be seen."""
 
@@ -189,12 +184,10 @@
 
 def stage_spec(spec: Emulation) -> StageSpec:
     """The stage of a run. ValueError where its stream cannot be."""
-    nodes = fleet(spec.nodes, WARM_UP_MS)
-    stream = stream_of(spec, traffic.capacity(list(nodes)))
-    orders = tuple(stream.orders())
+    orders = tuple(stream_of(spec).orders())
     if not orders:
         raise ValueError("no request in the whole stream; a higher load or a longer run is needed")
-    habits, shares = _habits(spec.habits)
+    habits, shares = zip(*mixed(spec.habits), strict=True)
     crowded = tuple(
         (STORE, Trouble(script.CROWD_KIND, event.at_ms, event.end_ms))
         for event in spec.events
@@ -202,8 +195,9 @@
     )
     length = spec.length_ms() if not spec.stream else orders[-1].at
     return StageSpec(
-        seed=spec.seed, nodes=nodes, phases=(traffic.Phase(length, spec.load, spec.load),), habits=habits,
-        shares=shares, orders=orders, launcher=launcher_of(spec), premises=spec.premises,
+        seed=spec.seed, nodes=fleet(spec.nodes, WARM_UP_MS),
+        phases=(traffic.Phase(length, spec.load, spec.load),), habits=habits, shares=shares,
+        orders=orders, launcher=launcher_of(spec), premises=spec.premises,
         operator=spec.operator, catalogue=spec.catalogue, troubles=crowded,
     )  # fmt: skip
 
@@ -213,29 +207,21 @@
     player = Player(spec.events)
     stage = player.play(stage_spec(spec))
     rows = outcomes.joined([outcomes.rows_of(stage.log)])
-    return Recording(rows, told_of(spec, stage, player.samples))
+    return Recording(rows, told_of(spec, stage, rows, player.samples))
 
 
-def told_of(spec: Emulation, stage: Stage, samples: dict[str, list[Any]]) -> dict[str, Any]:
+def told_of(spec: Emulation, stage: Stage, rows: Rows, samples: dict[str, list[Any]]) -> dict[str, Any]:
     """All but the rows, as plain values."""
-    rows = outcomes.rows_of(stage.log)
     late = outcomes.lateness(rows, len(stage.orders), LATE_BOUND_MS)
     return {
         "seed": spec.seed, "nodes": spec.nodes, "load": spec.load, "policy": spec.policy,
         "habits": spec.habits,
         "capacity_per_s": round(stage.capacity, 1), "intended": late.intended, "sent": late.sent,
         "late_p99_ms": round(late.p99_ms, 2), "late_most_ms": round(late.most_ms, 1),
-        "classes": list(stage.tally.rows), "departments": [name for name, _ in traffic.DEPARTMENTS],
+        "classes": list(stage.tally.rows), "departments": list(traffic.DEPARTMENT_NAMES),
         "rules": dict(stage.checker.counts), "refusals": dict(stage.refusals),
         "broken": [f"{each.rule} at {each.node}: {each.detail}" for each in stage.checker.broken[:5]],
-        "faults": late.faults(), "sample_ms": SAMPLE_MS, "samples": samples, "service": SERVICE,
+        "faults": late.faults(), "sample_ms": SAMPLE_MS, "samples": samples,
         "events": [[each.words(), each.at_ms, each.end_ms] for each in spec.events],
-        "digest": digest(stage.orders, spec.seed),
+        "digest": Stream(spec.seed).digest(stage.orders),
     }  # fmt: skip
-
-
-def digest(orders: Sequence[traffic.Order], seed: int) -> str:
-    """Of the arrivals, byte for byte as a trace would hold them."""
-    salt = f"seed {seed}".encode()
-    written = traces.written(traces.record_of(order, salt) for order in orders)
-    return hashlib.blake2b(written, digest_size=8).hexdigest()
--- a/spindlerelay/lab/policies/__main__.py
+++ b/spindlerelay/lab/policies/__main__.py
@@ -4,7 +4,6 @@
 
 from __future__ import annotations
 
-import re
 import signal
 import sys
 
@@ -14,19 +13,11 @@
 from spindlerelay.brain import Brain
 from spindlerelay.cli.run import start
 from spindlerelay.interface import Settings
+from spindlerelay.lab.policies import FORM, NAMES, known
 from spindlerelay.lab.policies.limits import LIMITS
 from spindlerelay.lab.policies.plain import Lossy, Plain
 from spindlerelay.node.node import Module
 
-NAMES = ("module", *LIMITS)
-FORM = re.compile(r"(\w+)(?:\+lossy(0?\.[0-9]+))?")
-
-
-def known(name: str) -> bool:
-    """Whether an experiment may name it."""
-    match = FORM.fullmatch(name)
-    return bool(match) and match[1] in NAMES if match else False
-
 
 def module_of(name: str, settings: Settings, seed: int) -> Module:
     """The decision module of a policy's name."""
--- a/spindlerelay/lab/reports/report.py
+++ b/spindlerelay/lab/reports/report.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import csv
+from collections import Counter
 from collections.abc import Sequence
 from importlib.resources import files
 from pathlib import Path
@@ -132,7 +133,7 @@
 
 
 def _verdict(row: Row, base: str) -> str:
-    where = f"Story {row.story}, {row.nodes} nodes, load {row.load:g}: " if row.story else "Over all: "
+    where = f"Story {row.where}: " if row.where else "Over all: "
     return where + row.interval.words(base, row.variant)
 
 
@@ -165,17 +166,16 @@
         recordings = [Recording.unpacked(data) for data in packed if data]
         if recordings:
             rows = np.concatenate([each.rows for each in recordings])
-            refusals: dict[str, int] = {}
+            refusals: Counter[str] = Counter()
             for each in recordings:
-                for reason, count in each.told.get("refusals", {}).items():
-                    refusals[reason] = refusals.get(reason, 0) + count
-            found.append(Series(variant, rows, recordings[0].told | {"refusals": refusals}))
+                refusals.update(each.told.get("refusals", {}))
+            found.append(Series(variant, rows, recordings[0].told | {"refusals": dict(refusals)}))
     return found
 
 
 def _parts(merged: Sequence[Series], drawn: Sequence[Series]) -> list[Part]:
     """What every report has."""
-    names = [name for name, _ in traffic.DEPARTMENTS]
+    names = traffic.DEPARTMENT_NAMES
     parts = [
         Part(
             "Percentiles",
--- a/spindlerelay/lab/stage.py
+++ b/spindlerelay/lab/stage.py
@@ -39,6 +39,7 @@
 from spindlerelay.lab.models.troubles import Trouble, condition
 from spindlerelay.lab.models.way import Answer, Next, Way, reason_of
 from spindlerelay.lab.peers.catalogue import AgentServer
+from spindlerelay.lab.peers.dialects import fields_of
 from spindlerelay.lab.peers.interpreter import Interpreter
 from spindlerelay.lab.peers.lanes import Lanes
 from spindlerelay.lab.peers.store import StoreServer, reply_to
@@ -52,7 +53,6 @@
 FIRST_PORT, PORTS_EACH, PORT_PARTS = 11_000, 64, 320  # 11,000 to 31,479
 HERE = ("127.0.0.1", 0)
 
-DEPARTMENT = {name: index for index, (name, _) in enumerate(traffic.DEPARTMENTS)}
 PREMISES = Path(__file__).resolve().parents[2]
 
 
@@ -534,15 +534,8 @@
         if attempt is None:
             return
         order = attempt.order
-        fields = {
-            "call": call, "recv": str(round(attempt.recv)), "src": str(attempt.balancer),
-            "org": order.department, "ttl": str(max(1, round(attempt.due - attempt.recv))),
-            "heap": f"{order.kb:.1f}", "crit": f"{order.rank:.4f}",
-        }  # fmt: skip
-        if attempt.number > 1 and self.balancers[attempt.balancer].habit.marks:
-            fields["rep"] = "1"
-        if order.key:
-            fields["dedupe"] = order.key
+        left, marked = attempt.due - attempt.recv, attempt.way.marked(attempt.number)
+        fields = fields_of(order, call, attempt.balancer, attempt.recv, left, marked)
         attempt.written = True
         if soon := attempt.way.copy_after():
             self.loop.after(soon, lambda: self._copy(call))
@@ -613,7 +606,8 @@
     ) -> None:
         self.log += Outcome(
             order.at, self.sent_late.pop(order.number, 0.0), order.number, took_ms, tries,
-            self.spec.classes.index(order.cls), DEPARTMENT[order.department], end, reason, poorer,
+            self.spec.classes.index(order.cls), traffic.DEPARTMENT_INDEX[order.department], end, reason,
+            poorer,
         ).packed()  # fmt: skip
 
     def died(self, node: str) -> None:
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -48,6 +48,7 @@
         ("loads = [0.5, 0.9]", 'arrivals = "even"', "arrivals: 'even' stands there; expected one of poisson"),
         ("loads = [0.5, 0.9]", 'habits = "strom"', "habits: 'strom' is no habit; known: steady"),
         ('policy = "pool"', 'policy = "tub"', "variant.1.policy: 'tub' stands there; expected one of module"),
+        ('policy = "pool"', 'policy = "pool+lossy5"', "variant.1.policy: 'pool+lossy5' stands there"),
         ('policy = "pool"', 'habits = "once:0"', "variant.1.habits: '0' is no share of once"),
         ('name = "pool"', 'name = "module"', "variant: 'module' stands twice"),
         ('name = "try"', "", "name: missing"),
--- a/tests/test_load_run.py
+++ b/tests/test_load_run.py
@@ -104,7 +104,7 @@
     assert len(found) == 200 and outcomes.percentiles(found["took_us"])["p99_9_ms"] < 1000.0
     told = made.told()
     assert told.clock_steps == 1 and told.step_ms == pytest.approx(3_600_000.0, abs=100.0)
-    result = run.LoadResult(found, outcomes.lateness(found, 200, LOOSE_MS), 0, (told,), 1.0, "")
+    result = run.LoadResult(found, outcomes.lateness(found, 200, LOOSE_MS), 0, (told,), "")
     assert not result.faults() and "clock was set 1 times" in result.notes()[0]
 
 
