Start test nodes with an operator's file by one class

Cause: three test files each wrote the file and the start line of a node with an operator's TOML.

Change: tests.peers.Operated does; the assertions are the same.

Measured: the tests of the catalogue, the dependencies and the traces pass on it.

--- a/tests/peers.py
+++ b/tests/peers.py
@@ -278,3 +278,15 @@
 
     def terminate(self) -> None:
         self.process.send_signal(signal.SIGTERM)
+
+
+class Operated(Program):
+    """The render node started by ``run --operator``, with a file of this text."""
+
+    def __init__(self, folder: Path, text: str, **config: Any) -> None:
+        self.operator = folder / "operator.toml"
+        self.operator.write_text(text)
+        super().__init__(folder, **config)
+
+    def command(self) -> list[str]:
+        return [*super().command(), "run", "--operator", str(self.operator)]
--- a/tests/test_consul_node.py
+++ b/tests/test_consul_node.py
@@ -8,24 +8,21 @@
 from collections.abc import Iterator
 from datetime import datetime
 from pathlib import Path
+from typing import Any
 
 import pytest
 
 from tests.agents import Threaded
-from tests.peers import ROOT, Program
+from tests.peers import ROOT, Operated
 
 
-class Registered(Program):
-    """A node started by ``run --operator``."""
+class Registered(Operated):
+    """A node with an entry in a catalogue."""
 
-    def __init__(self, folder: Path, agent: tuple[str, int], **more: object) -> None:
-        self.operator = folder / "operator.toml"
+    def __init__(self, folder: Path, agent: tuple[str, int], **more: Any) -> None:
         address = "{}:{}".format(*agent)
-        self.operator.write_text(f'[consul]\naddress = "{address}"\nservice = "render"\nttl_ms = 2000\n')
-        super().__init__(folder, **more)  # type: ignore[arg-type]
-
-    def command(self) -> list[str]:
-        return [sys.executable, "-m", "spindlerelay", "run", "--operator", str(self.operator)]
+        text = f'[consul]\naddress = "{address}"\nservice = "render"\nttl_ms = 2000\n'
+        super().__init__(folder, text, **more)
 
 
 @pytest.fixture
--- a/tests/test_dependencies_node.py
+++ b/tests/test_dependencies_node.py
@@ -4,7 +4,6 @@
 
 import json
 import signal
-import sys
 from pathlib import Path
 from typing import Any
 
@@ -16,20 +15,18 @@
 from spindlerelay.lab.models.store import SharedStore, StoreSpec
 from spindlerelay.lab.models.troubles import KINDS, WELL, Trouble, condition
 from spindlerelay.lab.plain import Plain
-from tests.peers import Program, Store
+from tests.peers import Operated, Store
 from tests.test_dependencies import PLAIN, SETTINGS
 
 ORDER, PREVIEW = "00000000000000a1", "00000000000000b2"
 
 
-class Dependent(Program):
+class Dependent(Operated):
     """A node with an archive and a tariff service of its own; the platform's store is a third."""
 
     def __init__(self, folder: Path, **more: Any) -> None:
         self.archive, self.tariff = Store(), Store()
-        self.operator = folder / "operator.toml"
-        self.operator.write_text(self.table())
-        super().__init__(folder, **more)
+        super().__init__(folder, self.table(), **more)
 
     def table(self, **more: str) -> str:
         address = {"archive": self.archive.address, "tariff": self.tariff.address} | more
@@ -49,9 +46,6 @@
 retry_share = 0.0
 """
 
-    def command(self) -> list[str]:
-        return [sys.executable, "-m", "spindlerelay", "run", "--operator", str(self.operator)]
-
     def __exit__(self, *more: Any) -> None:
         super().__exit__(*more)
         self.archive.close()
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import sys
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -17,7 +16,7 @@
 from spindlerelay.observe.trace import Record
 from spindlerelay.transport.loop import Loop
 from tests.driver import KEYED, PLAIN, settings
-from tests.peers import Program
+from tests.peers import Operated
 
 RECORDS = [
     Record(0.0, "preview", "acqua", 0.25, 30.0, 3600.0, 20, "ab" * 8),
@@ -190,20 +189,11 @@
     feature.close()
 
 
-class Capturing(Program):
-    """A node with a [capture] table."""
-
-    def __init__(self, folder: Path) -> None:
-        self.operator = folder / "operator.toml"
-        self.operator.write_text('[capture]\npath = "out.jsonl"\n')
-        super().__init__(folder)
-
-    def command(self) -> list[str]:
-        return [sys.executable, "-m", "spindlerelay", "run", "--operator", str(self.operator)]
+CAPTURE = '[capture]\npath = "out.jsonl"\n'
 
 
 def test_a_node_captures_what_it_reads_and_never_writes_over_a_file(tmp_path: Path) -> None:
-    with Capturing(tmp_path) as node:
+    with Operated(tmp_path, CAPTURE) as node:
         node.vm.expect("CONNECT", "0")
         balancer = node.balancer()
         asked = balancer.ask("00000000000000a1")
@@ -215,8 +205,8 @@
         node.process.wait(20)
     found = traces.read(str(tmp_path / "out.jsonl"))
     assert [record.cls for record in found.records] == ["preview"] and not found.cut
-    again = Capturing.__new__(Capturing)
-    with pytest.raises(AssertionError, match="out.jsonl exists; name a new file"):
-        Capturing.__init__(again, tmp_path)
-        with again:
-            pass
+    with (
+        pytest.raises(AssertionError, match="out.jsonl exists; name a new file"),
+        Operated(tmp_path, CAPTURE),
+    ):
+        pass
