Serve on the inherited socket, hand over at SIGTERM, answer at a management address

Scrapes of /control/* found no listener. Ruled out: the settings parser (bad files were turned down as they should be, 'deadline-ms: -5 makes no sense'), and the interpreter.

--- a/spindlerelay/config/platform.py
+++ b/spindlerelay/config/platform.py
@@ -32,6 +32,8 @@
     sockets: int
     memory_mb: float
     settings: api.Settings
+    accept_fd: int | None = None  # the clients' listening socket, held by the platform and inherited
+    management: tuple[str, int] | None = None  # where operators' tools ask for readiness and figures
 
 
 def address(text: Any, key: str) -> tuple[str, int]:
@@ -43,6 +45,15 @@
     raise ConfigError(f"{key}: {text!r} is not an address with a port")
 
 
+def inherited(text: str) -> int | None:
+    """The descriptor named in ``LB_ACCEPT_FD``, where the platform hands one down."""
+    if not text:
+        return None
+    if not text.isdigit():
+        raise ConfigError(f"LB_ACCEPT_FD: {text!r} is not a descriptor: a whole number such as 4")
+    return int(text)
+
+
 def read_config(environ: dict[str, str]) -> Config:
     """The configuration that the environment points to."""
     path = environ.get("LB_CONFIG", "")
@@ -66,6 +77,7 @@
         raise ConfigError(f"{path}: settings are missing")
     tree.setdefault("name", environ.get("LB_NAME", ""))
     tree.setdefault("listen", environ.get("LB_LISTEN", ""))
+    tree.setdefault("management", environ.get("LB_MANAGEMENT", ""))
     try:
         limits = tree.get("limits") or {}
         return Config(
@@ -79,6 +91,8 @@
             sockets=int(limits.get("sockets", SOCKETS)),
             memory_mb=float(limits.get("memory_mb", MEMORY_MB)),
             settings=settings.parse(settings.pairs_of_json(tree["settings"])),
+            accept_fd=inherited(environ.get("LB_ACCEPT_FD", "")),
+            management=address(tree["management"], "management") if tree["management"] else None,
         )
     except (ValueError, TypeError, AttributeError, OverflowError) as error:
         raise ConfigError(f"{path}: {error}") from None
--- a/spindlerelay/fronts/balancers.py
+++ b/spindlerelay/fronts/balancers.py
@@ -13,7 +13,7 @@
 SWEEP_MS = 50.0  # between looks at all connections
 OWN_SOCKETS = 32  # descriptors kept for our own links, log and listener
 MOST_OPEN = 32  # requests open on one connection, by the protocol
-MOST_BAD = 16  # bad requests on one connection, past which nothing more is read from it
+MOST_BAD = 16  # bad requests on one connection, past which it is asked to go
 STUCK_MS = 15000.0  # an answer that no byte of which was taken for so long: the peer is gone
 BROKEN_MS = 5000.0  # the longest that what a connection without intake still sends is read and dropped
 FIRST_MS = 1500.0  # a connection without a whole request for so long is no balancer's
@@ -47,8 +47,13 @@
         calls = self.decoder.feed(data)
         for call in calls:
             self._call(call)
-        if self.decoder.broken or self.bad > MOST_BAD:
-            self._deafen(self.decoder.broken or "too many bad requests")
+        if self.decoder.broken:
+            self._deafen(self.decoder.broken)
+        elif self.bad > MOST_BAD and not self.leaving:
+            # The framing holds, so what follows can still be answered: to drop it would lose requests that
+            # a balancer sent before it heard of the trouble, as when its classes are newer than ours.
+            self.front.loop.warnings.warn("bad input from a balancer", "too many bad requests: asked to go")
+            self.go_away()
         elif not self.decoder.rest:
             self.half = 0.0
         elif calls or not self.half:
@@ -152,6 +157,7 @@
         settings: api.Settings,
         sockets: int,
         node: Receiver,
+        inherited: int | None = None,
     ) -> None:
         self.loop, self.node = loop, node
         self.classes = {spec.name: index for index, spec in enumerate(settings.classes)}
@@ -163,7 +169,7 @@
         self.draining = False
         self.links: dict[Link, None] = {}
         self.places: dict[Ask, tuple[Link, int]] = {}
-        self.listener = Listener(loop, address, self._accept)
+        self.listener = Listener(loop, address, self._accept, inherited)
         loop.after(SWEEP_MS, self._sweep)
 
     def _accept(self, sock: socket.socket) -> None:
--- a/spindlerelay/node/node.py
+++ b/spindlerelay/node/node.py
@@ -11,10 +11,12 @@
 from loguru import logger
 
 from spindlerelay import interface as api
+from spindlerelay.node.counters import Counters
 from spindlerelay.node.exchange import Ask, Failed, Front, Outcome, Refused, Served
 from spindlerelay.node.repeats import Key, Repeats
 from spindlerelay.peers import interpreter, store
 from spindlerelay.peers.announce import Announcer
+from spindlerelay.storage.claims import Claims
 from spindlerelay.transport.loop import Loop, clock
 from spindlerelay.transport.wheel import TICK_MS, Timer
 
@@ -111,6 +113,8 @@
         self.pool: Calls | None = None  # the operator's dependencies, where there are any
         self.announcer: Announcer
         self.tap: Callable[[Ask], None] | None = None  # hears of every request read, where one is captured
+        self.counters = Counters()
+        self.claims: Claims | None = None  # keys shared with other processes of this node, in a handover
         self.fronts: list[Front] = []
         self._inbox: list[api.Event] = []
         self._tries: dict[int, Try] = {}
@@ -120,6 +124,7 @@
         self._started = False
         self._quiet_since = 0.0
         self._shut = False
+        self._handover = False
         self._carry: dict[type, Callable[[Any], None]] = {
             api.Run: self._run, api.Refuse: self._refuse, api.Fail: self._fail, api.Call: self._call,
             api.Skip: self._skip, api.Keep: self._keep, api.Forget: lambda a: self.repeats.forget(a.id),
@@ -150,17 +155,27 @@
         if announce != self.announcer.address:
             self.announcer.move(announce)
 
-    def drain(self, left_ms: float) -> None:
-        """The notice to leave: tell the module, the list and the balancers, and end when all is answered."""
+    def drain(self, left_ms: float, handover: bool = False) -> None:
+        """The notice to leave: tell the module, the list and the balancers, and end when all is answered.
+
+        In a ``handover`` a newer process of the same name takes the shared listening socket: this one stops
+        taking connections at once and falls silent to the list, which follows the reports of both, instead
+        of saying that the node takes no work."""
         if self.stop_at < float("inf"):
             return
         now = clock()
-        logger.info("leaving: notice received, stop in {:.0f} ms", left_ms)
+        how = ", handing over" if handover else ""
+        logger.info("leaving: notice received{}, stop in {:.0f} ms", how, left_ms)
         self.stop_at, self.last_run = now + left_ms, now + self.settings.drain_grace_ms
         self._inbox.append(api.Drain(max(0.0, left_ms - LEAVE_MS)))
+        if handover:
+            self.announcer.stop()
         self._tell_health()
         for front in self.fronts:
             front.drain()
+            if handover:
+                front.stop()
+        self._shut = self._handover = handover
         self.loop.wheel.at(self.stop_at - LEAVE_MS, self._answer_all)
         self._leave()
 
@@ -172,7 +187,8 @@
         open_tries = any(not work.answered for work in self._tries.values())
         if open_tries or not all(front.quiet() for front in self.fronts):
             self._quiet_since = now
-        quiet = now > self.last_run and now - self._quiet_since > QUIET_MS
+        # In a handover nothing new comes once the listening socket is closed: what is answered may leave.
+        quiet = (now > self.last_run or self._handover) and now - self._quiet_since > QUIET_MS
         if self._shut and (quiet or now >= self.stop_at - LEAVE_MS / 2):
             self._answer_all()
             self.loop.running = False
@@ -197,14 +213,14 @@
             # Ids are new with every try: this is the same one, sent again since its connection ended.
             same = earlier.ask.content() == ask.content() and earlier.ask.recv == ask.recv
             if earlier.answered or earlier.front.reachable(earlier.ask) or not same:
-                front.answer(ask, Failed("Duplicate: this call is being worked on"))
+                self._tell(front, ask, Failed("Duplicate: this call is being worked on"))
             else:
                 earlier.front, earlier.ask = front, ask
             return
         spec = self.settings.classes[ask.cls]
         if spec.effect is api.Effect.KEYED and not self.repeats.matches(ask.dedupe, ask.content()):
             # Not one of its tries: it must get no result of theirs, nor stand in their way.
-            front.answer(ask, Failed("BadRequest: another request has this key"))
+            self._tell(front, ask, Failed("BadRequest: another request has this key"))
             return
         rid, self._next_id = self._next_id, self._next_id + 1
         work = self._tries[rid] = self._calls[ask.call] = Try(rid, ask, front)
@@ -260,10 +276,24 @@
         work.answered = True
         if work.guard:
             work.guard.cancel()
-        work.front.answer(work.ask, outcome)
+        self._tell(work.front, work.ask, outcome)
         if not work.running:
             self._close(work)
 
+    def _tell(self, front: Front, ask: Ask, outcome: Outcome) -> None:
+        """Every answer to a request goes by here, and is counted."""
+        end = 0 if isinstance(outcome, Served) else 1 if isinstance(outcome, Refused) else 2
+        self.counters.ended(self.settings.classes[ask.cls].name, end)
+        front.answer(ask, outcome)
+
+    def ready(self) -> bool:
+        """Whether this process serves: its interpreter is up, and it has no notice to leave."""
+        return self._started and self.stop_at == float("inf")
+
+    def outstanding(self) -> int:
+        """Requests taken and not yet answered."""
+        return sum(not work.answered for work in self._tries.values())
+
     def _close(self, work: Try) -> None:
         self._tries.pop(work.id, None)
         self._calls.pop(work.ask.call, None)
@@ -311,13 +341,20 @@
             # Guards two rules against the module: no second run of a keyed request, none past the grace.
             why = "past the grace of the notice to leave" if late else "entry of a keyed request lost"
             self.loop.warnings.warn("run refused", why)
-            begun = keyed and work.key is not None and self.repeats.ran(work.key)
-            self._give_up(work, Failed() if begun else Refused())
+            self._give_up(work, Failed() if self._ran(work) else Refused())
+            self._inbox.append(api.Done(work.id, api.Outcome.MOOT))
+            return
+        bound_until = work.ask.recv + spec.key_window_ms + TICK_MS
+        if keyed and self.claims is not None and not self.claims.claim(str(work.key), clock(), bound_until):
+            # Guards the rule across processes: another process of this node holds the key, may have run it.
+            self.loop.warnings.warn("run refused", "key claimed by another process of this node")
+            self._give_up(work, Failed())
             self._inbox.append(api.Done(work.id, api.Outcome.MOOT))
             return
         if keyed:
-            self.repeats.run(work.id, work.ask.recv + spec.key_window_ms + TICK_MS)
+            self.repeats.run(work.id, bound_until)
         work.running, work.since = True, clock()
+        self.counters.forwards += 1
         self.interpreter.apply(work.ask.call, spec.name, work.ask.body)
 
     def _refuse(self, action: api.Refuse) -> None:
@@ -330,10 +367,20 @@
         elif isinstance(work.key, str) and (ran := self.repeats.ran(work.key)):
             # 'Never ran' would be untrue of the request, and it might be run elsewhere a second time.
             outcome = Failed() if ran.result is None else Served(ran.result)
+        elif self._ran(work):
+            outcome = Failed()
         elif work.read < work.ask.due and self.stop_at == float("inf"):
             self.refused += 1
         self._give_up(work, outcome)
 
+    def _ran(self, work: Try) -> bool:
+        """Whether a keyed request may have run, here or in another process of this node."""
+        if not isinstance(work.key, str):
+            return False
+        if self.repeats.ran(work.key):
+            return True
+        return self.claims is not None and self.claims.taken(work.key, clock())
+
     def _fail(self, action: api.Fail) -> None:
         if work := self._tries.get(action.id):
             self._give_up(work, Failed())
@@ -450,6 +497,8 @@
     def _expire(self) -> None:
         self.loop.after(EXPIRE_MS, self._expire)
         self.repeats.expire(clock())
+        if self.claims is not None:
+            self.claims.sweep(clock())
 
     # What the peers tell
 
--- a/spindlerelay/peers/announce.py
+++ b/spindlerelay/peers/announce.py
@@ -45,9 +45,16 @@
             self.loop.after(2 * AGAIN_MS, self._report)
 
     def _again(self) -> None:
-        self.loop.after(EVERY_MS, self._again)
+        if self.started:
+            self.loop.after(EVERY_MS, self._again)
         self._report()
 
+    def stop(self) -> None:
+        """No more reports: another process of this name reports from now on, and the list follows both."""
+        self.started = False
+
     def _report(self) -> None:
+        if not self.started:
+            return
         with contextlib.suppress(OSError):  # the service may be down; no entry lapses meanwhile
             self._socket.sendto(encode(self.name, self.accepting), self.address)
--- a/spindlerelay/service.py
+++ b/spindlerelay/service.py
@@ -8,8 +8,9 @@
 import signal
 import socket
 import sys
+import tempfile
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 from loguru import logger
 
@@ -18,8 +19,14 @@
 from spindlerelay.fronts.balancers import Balancers
 from spindlerelay.interface import Settings
 from spindlerelay.node.node import Module, Node
+from spindlerelay.storage.claims import Claims
 from spindlerelay.transport.loop import Loop
 
+HANDOVER_WAIT_MS = 3000.0  # in a handover the platform waits for the longest deadline, but no more than this
+HANDOVER_MS = 700.0  # and so much after it, before the old process is killed
+if TYPE_CHECKING:
+    from spindlerelay.fronts.management import Management
+
 TEXT = "{time:YYYY-MM-DD HH:mm:ss.SSS} {level} {message}"
 
 
@@ -82,17 +89,37 @@
         brain = module(told(config.settings) if told else config.settings, config.seed)
         self.node = Node(self.loop, config.settings, brain, config.memory_mb)
         self.node.start(config.vm, config.store, config.announce, config.name)
-        self.node.add_front(Balancers(self.loop, config.listen, config.settings, config.sockets, self.node))
+        self.node.add_front(Balancers(
+            self.loop, config.listen, config.settings, config.sockets, self.node, config.accept_fd
+        ))  # fmt: skip
+        if config.accept_fd is not None:
+            # Processes of one node share the socket, and $TMPDIR with it: keyed requests are claimed there.
+            folder = os.path.join(tempfile.gettempdir(), f"spindlerelay-claims-{config.name}")
+            self.node.claims = Claims(folder)
+        self.management: Management | None = None
+        if config.management is not None:
+            from spindlerelay.fronts.management import Management  # httptools only where it is asked for
+
+            self.management = Management(self.loop, config.management, self.node.ready, self._figures)
         self.features: list[Feature] = []
         handlers: dict[int, Callable[[], None]] = {
             signal.SIGTERM: self._leave, signal.SIGINT: self._leave, signal.SIGHUP: self._reread,
         }  # fmt: skip
         Signals(self.loop, handlers)
 
+    def _figures(self) -> bytes:
+        return self.node.counters.lines(self.node.outstanding())
+
     def _leave(self) -> None:
         for feature in self.features:  # the catalogue hears it before the drain begins
             feature.leave()
-        self.node.drain(self.config.stop_ms)
+        if self.config.accept_fd is None:
+            self.node.drain(self.config.stop_ms)
+            return
+        # The platform holds the listening socket: SIGTERM means that a newer process has taken over, and the
+        # kill follows the longest deadline and HANDOVER_MS, whatever stop_ms says.
+        longest = min(HANDOVER_WAIT_MS, max(spec.deadline_ms for spec in self.config.settings.classes))
+        self.node.drain(min(self.config.stop_ms, longest + HANDOVER_MS), handover=True)
 
     def _reread(self) -> None:
         """SIGHUP: the file is read whole, and if it is wrong nothing changes."""
@@ -101,8 +128,10 @@
         try:
             new = read_config(dict(os.environ))
         except ConfigError as error:
+            self.node.counters.sighup_rejected += 1
             logger.error("configuration not taken, the old one stays: {}", error)
             return
+        self.node.counters.sighup_applied += 1
         old, moved = self.config, {"vm", "store", "announce", "stop_ms"}
         changed = [key for key in Config._fields if getattr(new, key) != getattr(old, key)]
         self.config = old._replace(**{key: getattr(new, key) for key in moved})
@@ -118,5 +147,7 @@
         gc.freeze()  # what is loaded by now stays: collections need not walk it
         self.loop.run(self.node.settle)
         self.loop.flush()
+        if self.management is not None:
+            self.management.close()
         for feature in self.features:
             feature.close()
--- /dev/null
+++ b/spindlerelay/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Storage that outlives a process but not the machine: claims that processes of one node share."""
--- a/spindlerelay/transport/loop.py
+++ b/spindlerelay/transport/loop.py
@@ -260,14 +260,23 @@
     """Takes connections; ``on_accept`` owns them. Held back, new ones wait in the kernel's queue."""
 
     def __init__(
-        self, loop: Loop, address: tuple[str, int], on_accept: Callable[[socket.socket], None]
+        self,
+        loop: Loop,
+        address: tuple[str, int],
+        on_accept: Callable[[socket.socket], None],
+        inherited: int | None = None,
     ) -> None:
+        """``inherited`` is a descriptor that listens already, held by whoever started the process: it is
+        shared with the process before and after this one, and closing it here closes only this copy."""
         self.loop, self.on_accept = loop, on_accept
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if inherited is None:
+            self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self.sock.bind(address)
+            self.sock.listen(1024)
+        else:
+            self.sock = socket.socket(fileno=inherited)
         self.sock.setblocking(False)
-        self.sock.bind(address)
-        self.sock.listen(1024)
         self.open, self.held = True, False
         loop.watch(self.sock, selectors.EVENT_READ, self)
 
--- /dev/null
+++ b/tests/test_operations.py
@@ -0,0 +1,134 @@
+"""The operators' days on real sockets: the management address, the figures, settings at SIGHUP, and a new
+version on the inherited listening socket."""
+
+from __future__ import annotations
+
+import json
+import socket
+import time
+from pathlib import Path
+
+from spindlerelay.node.counters import Counters
+from spindlerelay.storage.claims import Claims
+from tests.peers import SETTINGS, WAIT, Balancer, Program, listener, port
+
+A, B = (f"{n:016x}" for n in (0xA1, 0xB2))
+
+
+def http(address: str, text: bytes) -> tuple[int, bytes]:
+    """Status and body of one call; 0 where the connection ended with no answer."""
+    host, _, number = address.rpartition(":")
+    with socket.create_connection((host, int(number)), WAIT) as sock:
+        sock.sendall(text)
+        data = b""
+        while chunk := sock.recv(65536):
+            data += chunk
+    head, _, body = data.partition(b"\r\n\r\n")
+    return (int(head.split()[1]) if head else 0), body
+
+
+def free_address() -> str:
+    probe = listener()
+    address = port(probe)
+    probe.close()
+    return address
+
+
+def test_management_tells_readiness_and_figures_and_turns_away_what_is_not_a_call(tmp_path: Path) -> None:
+    management = free_address()
+    with Program(tmp_path, management=management) as node:
+        node.vm.expect("CONNECT", "0")
+        silent = socket.create_connection(("127.0.0.1", int(management.rpartition(":")[2])), WAIT)
+        began = time.monotonic()
+        assert http(management, b"GET /control/ready HTTP/1.1\r\nHost: n\r\n\r\n") == (200, b"ready\n")
+        assert time.monotonic() - began < 1.0  # a caller that says nothing blocks nobody
+        balancer = node.balancer()
+        asked = balancer.ask(A)
+        node.vm.expect("APPLY", A)
+        node.vm.value(A, b"done")
+        assert balancer.answer(asked) == b"done"
+        status, body = http(management, b"GET /control/counters HTTP/1.1\r\n\r\n")
+        lines = body.decode().splitlines()
+        assert status == 200 and "lb.results.preview.succeeded:1|c" in lines and "lb.forwards:1|c" in lines
+        assert "lb.outstanding:0|g" in lines
+        assert http(management, b"GET /control/nothing HTTP/1.1\r\n\r\n")[0] == 404
+        assert http(management, b"POST /control/ready HTTP/1.1\r\nContent-Length: 0\r\n\r\n")[0] == 405
+        assert http(management, b"\x16\x03\x01 not http\r\n\r\n")[0] == 400
+        silent.settimeout(WAIT)
+        assert silent.recv(10) == b""  # closed by the node, well before the caller's 4 s
+        assert time.monotonic() - began < 3.0
+
+
+def test_a_file_turned_down_at_sighup_is_counted_and_the_old_settings_stay(tmp_path: Path) -> None:
+    management = free_address()
+    with Program(tmp_path, management=management) as node:
+        node.vm.expect("CONNECT", "0")
+        node.reload("{")
+        node.logs("configuration not taken")
+        node.reload()
+        node.logs("configuration read again")
+        lines = http(management, b"GET /control/counters HTTP/1.1\r\n\r\n")[1].decode().splitlines()
+        assert "lb.sighup_rejected:1|c" in lines and "lb.sighup_applied:1|c" in lines
+
+
+def test_a_new_process_takes_the_inherited_socket_and_the_old_one_hands_over(tmp_path: Path) -> None:
+    """The second process could not bind the address that the platform held, and ended with status 2."""
+    shared = listener()
+    fd, address = shared.fileno(), port(shared)
+    env = {"LB_ACCEPT_FD": str(fd), "TMPDIR": str(tmp_path)}
+    for folder in ("old", "new"):
+        (tmp_path / folder).mkdir()
+    with Program(tmp_path / "old", env=env, fds=(fd,), listen=address) as old:
+        old.vm.expect("CONNECT", "0")
+        first = Balancer(address)
+        asked = first.ask(A, "order")
+        old.vm.expect("APPLY", A)
+        with Program(tmp_path / "new", env=env, fds=(fd,), listen=address) as new:
+            new.vm.expect("CONNECT", "0")
+            old.terminate()
+            old.logs("handing over")
+            old.vm.value(A, b"charged")
+            assert first.read() == [2, "goaway", []]
+            assert first.answer(asked) == b"charged"
+            assert old.process.wait(WAIT) == 0
+            again = Balancer(address)  # only the new process takes connections now
+            retry = again.ask(B, "order", rep="1")  # another try of the same keyed request
+            assert again.answer(retry) == "Failed"  # not run a second time, nor said never to have run
+            assert [b"APPLY"] not in [words[:1] for words in list(new.vm.seen.queue)]
+
+
+def test_a_keyed_request_is_claimed_once_across_processes_until_the_claim_lapses(tmp_path: Path) -> None:
+    one, other = Claims(str(tmp_path)), Claims(str(tmp_path))
+    assert one.claim("k", 1000.0, 5000.0) and not other.claim("k", 2000.0, 6000.0)
+    assert other.taken("k", 4000.0) and not other.taken("k", 5001.0)
+    assert other.claim("k", 5001.0, 9000.0)
+    one.sweep(9001.0)
+    assert list(tmp_path.iterdir()) == []
+
+
+def test_counters_render_each_class_and_gauge() -> None:
+    counters = Counters()
+    counters.ended("order", 1)
+    counters.forwards = 3
+    lines = counters.lines(2).decode().splitlines()
+    assert lines[:3] == ["lb.results.order.succeeded:0|c", "lb.results.order.declined:1|c",
+                         "lb.results.order.aborted:0|c"]  # fmt: skip
+    assert "lb.forwards:3|c" in lines and lines[-1] == "lb.outstanding:2|g"
+
+
+def test_the_management_address_is_read_from_the_file_or_the_environment(tmp_path: Path) -> None:
+    from spindlerelay.config.platform import ConfigError, read_config
+
+    path = tmp_path / "c.json"
+    base = {"name": "n", "listen": "127.0.0.1:1", "vm": "127.0.0.1:2", "store": "127.0.0.1:3",
+            "announce": "127.0.0.1:4", "settings": SETTINGS}  # fmt: skip
+    path.write_text(json.dumps(base))
+    env = {"LB_CONFIG": str(path), "LB_MANAGEMENT": "127.0.0.1:9", "LB_ACCEPT_FD": "4"}
+    config = read_config(env)
+    assert config.management == ("127.0.0.1", 9) and config.accept_fd == 4
+    try:
+        read_config(env | {"LB_ACCEPT_FD": "four"})
+    except ConfigError as error:
+        assert "LB_ACCEPT_FD" in str(error) and "whole number" in str(error)
+    else:
+        raise AssertionError("a descriptor that is no number was taken")
