Take classes added and dropped at SIGHUP at once; open requests keep theirs

Ruled out: the files that were turned down (deadline -5, settings missing), which were refused whole and counted as they should be.

Other settings still need a restart and the log says so. A real-socket test adds a class, drops another, and checks that the open request of the dropped class is served.

--- a/spindlerelay/brain.py
+++ b/spindlerelay/brain.py
@@ -161,6 +161,8 @@
             self._on_request(event)
         elif isinstance(event, api.Timer):
             self.gauges = dict(zip(self.settings.gauges, event.gauges, strict=False))
+        elif isinstance(event, api.Retune):
+            self._retune(event.settings)
         elif isinstance(event, api.Drain):
             self.stop, self.last_entry = self.now + event.left_ms, self.now + self.settings.drain_grace_ms
             self.out.append(api.Health(False, True))
@@ -182,6 +184,16 @@
                 work.without = event.without
             self.calls.append(work)
 
+    def _retune(self, settings: api.Settings) -> None:
+        """Open work keeps the class it came with; what is learnt of a class stays with its place."""
+        self.settings = settings
+        for index, spec in enumerate(settings.classes):
+            if index < len(self.classes):
+                self.classes[index].spec = spec
+            else:
+                self.classes.append(ClassState(spec))
+        self.top = max(spec.worth for spec in settings.classes)
+
     def _on_request(self, event: api.Request) -> None:
         state = self.classes[event.cls]
         work = Work(event, state.spec, self.now)
--- a/spindlerelay/fronts/balancers.py
+++ b/spindlerelay/fronts/balancers.py
@@ -160,10 +160,7 @@
         inherited: int | None = None,
     ) -> None:
         self.loop, self.node = loop, node
-        self.classes = {spec.name: index for index, spec in enumerate(settings.classes)}
-        self.keyed = [spec.effect is api.Effect.KEYED for spec in settings.classes]
-        self.tenants = {name: index for index, name in enumerate(settings.tenant_names)}
-        self.longest_ms = [spec.deadline_ms + SPARE_MS for spec in settings.classes]
+        self.retune(settings, {spec.name for spec in settings.classes})
         self.most = max(8, sockets - OWN_SOCKETS)
         self.idle_ms = settings.caller_idle_ms or float("inf")
         self.draining = False
@@ -172,6 +169,13 @@
         self.listener = Listener(loop, address, self._accept, inherited)
         loop.after(SWEEP_MS, self._sweep)
 
+    def retune(self, settings: api.Settings, taken: set[str]) -> None:
+        """Classes keep their indices; only those named in ``taken`` are asked for from now on."""
+        self.classes = {spec.name: index for index, spec in enumerate(settings.classes) if spec.name in taken}
+        self.keyed = [spec.effect is api.Effect.KEYED for spec in settings.classes]
+        self.tenants = {name: index for index, name in enumerate(settings.tenant_names)}
+        self.longest_ms = [spec.deadline_ms + SPARE_MS for spec in settings.classes]
+
     def _accept(self, sock: socket.socket) -> None:
         link = Link(self, sock)
         self.links[link] = None
--- a/spindlerelay/interface.py
+++ b/spindlerelay/interface.py
@@ -167,7 +167,13 @@
     gauges: tuple[float, ...] = ()
 
 
-Event = Request | Done | Gone | Needs | Called | Drain | Timer
+class Retune(NamedTuple):
+    """New settings while the server runs: every class keeps its index, added ones come after."""
+
+    settings: Settings
+
+
+Event = Request | Done | Gone | Needs | Called | Drain | Timer | Retune
 
 
 class Run(NamedTuple):
--- a/spindlerelay/lab/policies/plain.py
+++ b/spindlerelay/lab/policies/plain.py
@@ -64,6 +64,8 @@
         elif isinstance(event, api.Drain):
             self.last_entry = now + self.settings.drain_grace_ms
             out.append(api.Health(False, True))
+        elif isinstance(event, api.Retune):
+            self.settings = event.settings
         elif isinstance(event, api.Timer) or (work := self.works.get(event.id)) is None:
             return
         elif isinstance(event, api.Done):
--- a/spindlerelay/node/node.py
+++ b/spindlerelay/node/node.py
@@ -155,6 +155,12 @@
         if announce != self.announcer.address:
             self.announcer.move(announce)
 
+    def retune(self, settings: api.Settings, told: api.Settings) -> None:
+        """New settings, whose classes keep their indices (``settings.retuned``): open requests keep theirs.
+        ``told`` is what the module hears of them."""
+        self.settings = settings
+        self._inbox.append(api.Retune(told))
+
     def drain(self, left_ms: float, handover: bool = False) -> None:
         """The notice to leave: tell the module, the list and the balancers, and end when all is answered.
 
--- a/spindlerelay/service.py
+++ b/spindlerelay/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import gc
 import os
 import selectors
@@ -19,6 +20,7 @@
 from spindlerelay.fronts.balancers import Balancers
 from spindlerelay.interface import Settings
 from spindlerelay.node.node import Module, Node
+from spindlerelay.settings import retuned
 from spindlerelay.storage.claims import Claims
 from spindlerelay.transport.loop import Loop
 
@@ -89,9 +91,11 @@
         brain = module(told(config.settings) if told else config.settings, config.seed)
         self.node = Node(self.loop, config.settings, brain, config.memory_mb)
         self.node.start(config.vm, config.store, config.announce, config.name)
-        self.node.add_front(Balancers(
+        self.told = told
+        self.balancers = Balancers(
             self.loop, config.listen, config.settings, config.sockets, self.node, config.accept_fd
-        ))  # fmt: skip
+        )
+        self.node.add_front(self.balancers)
         if config.accept_fd is not None:
             # Processes of one node share the socket, and $TMPDIR with it: keyed requests are claimed there.
             folder = os.path.join(tempfile.gettempdir(), f"spindlerelay-claims-{config.name}")
@@ -133,13 +137,29 @@
             return
         self.node.counters.sighup_applied += 1
         old, moved = self.config, {"vm", "store", "announce", "stop_ms"}
-        changed = [key for key in Config._fields if getattr(new, key) != getattr(old, key)]
+        fields = [key for key in Config._fields if key != "settings"]
+        changed = [key for key in fields if getattr(new, key) != getattr(old, key)]
         self.config = old._replace(**{key: getattr(new, key) for key in moved})
         self.node.move(new.vm, new.store, new.announce)
         told = [f"{key} is {shown(getattr(new, key))}" if key in moved else f"{key} needs a restart"
                 for key in changed]  # fmt: skip
+        told += self._retune(new.settings)
         logger.info("configuration read again: {}", ", ".join(told) or "nothing has changed")
 
+    def _retune(self, new: Settings) -> list[str]:
+        """Classes are taken at once, and open requests keep theirs; other settings need a restart."""
+        old = self.config.settings
+        union = retuned(old, new)
+        said = []
+        if union != old or {spec.name for spec in new.classes} != set(self.balancers.classes):
+            self.config = self.config._replace(settings=union)
+            self.node.retune(union, self.told(union) if self.told else union)
+            self.balancers.retune(union, {spec.name for spec in new.classes})
+            said.append("classes are " + " ".join(spec.name for spec in new.classes))
+        if dataclasses.replace(new, classes=()) != dataclasses.replace(old, classes=()):
+            said.append("other settings need a restart")
+        return said
+
     def run(self) -> None:
         """Until the notice to leave has been carried out."""
         logger.info("{} listens on {}:{}", self.config.name, *self.config.listen)
--- a/spindlerelay/settings.py
+++ b/spindlerelay/settings.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from collections.abc import Iterator
 from typing import Any
 
@@ -116,6 +117,15 @@
     )
 
 
+def retuned(old: api.Settings, new: api.Settings) -> api.Settings:
+    """The settings in force after ``new`` is read while ``old`` holds: classes of the same name take their
+    new figures in place, classes that are gone keep their place for the requests still open, added ones come
+    after. Everything else stays as it was, as the module's other state is shaped by it."""
+    fresh = {spec.name: spec for spec in new.classes}
+    kept = tuple(fresh.pop(spec.name, spec) for spec in old.classes)
+    return dataclasses.replace(old, classes=kept + tuple(fresh.values()))
+
+
 def parse(values: dict[str, str]) -> api.Settings:
     """Settings from the mapping; ValueError names the key that makes no sense."""
     pairs = _Pairs(values)
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -132,3 +132,23 @@
         assert "LB_ACCEPT_FD" in str(error) and "whole number" in str(error)
     else:
         raise AssertionError("a descriptor that is no number was taken")
+
+
+def test_classes_added_and_dropped_at_sighup_are_taken_and_open_requests_keep_theirs(tmp_path: Path) -> None:
+    """A class added by SIGHUP was unknown until a restart: every request of it failed."""
+    with Program(tmp_path) as node:
+        node.vm.expect("CONNECT", "0")
+        balancer = node.balancer()
+        open_preview = balancer.ask(A)
+        node.vm.expect("APPLY", A)
+        extra = {"name": "poster", "deadline-ms": 4000.0, "goal-time-ms": 1000.0, "effect": "free"}
+        classes = [SETTINGS["classes"][1], extra]
+        node.reload(settings=SETTINGS | {"classes": classes})
+        node.logs("classes are order poster")
+        asked = balancer.ask(B, "poster")
+        assert node.vm.expect("APPLY", B)[2] == b"poster"
+        node.vm.value(B, b"poster done")
+        node.vm.value(A, b"page done")
+        answers = {balancer.read()[1]: None for _ in range(2)}
+        assert set(answers) == {open_preview, asked}
+        assert str(balancer.answer(balancer.ask("c" * 16))).startswith("BadRequest")  # dropped
