--- a/spindlerelay/cli/drill.py
+++ b/spindlerelay/cli/drill.py
@@ -15,7 +15,7 @@
 
 from spindlerelay.service import log_to_stderr
 
-DRILLS = ("consul", "dependencies", "load")
+DRILLS = ("consul", "dependencies", "handover", "load")
 
 
 @click.command()
