--- a/spindlerelay/service.py
+++ b/spindlerelay/service.py
@@ -86,12 +86,11 @@
         module: Callable[[Settings, int], Module] = Brain,
     ) -> None:
         """``told`` makes what the module is told of the settings, where a feature takes a part over."""
-        self.config = config
+        self.config, self.told = config, told
         self.loop = Loop()
-        brain = module(told(config.settings) if told else config.settings, config.seed)
+        brain = module(self._module_settings(config.settings), config.seed)
         self.node = Node(self.loop, config.settings, brain, config.memory_mb)
         self.node.start(config.vm, config.store, config.announce, config.name)
-        self.told = told
         self.balancers = Balancers(
             self.loop, config.listen, config.settings, config.sockets, self.node, config.accept_fd
         )
@@ -111,6 +110,10 @@
         }  # fmt: skip
         Signals(self.loop, handlers)
 
+    def _module_settings(self, settings: Settings) -> Settings:
+        """What the module is told of the settings, where a feature takes a part over."""
+        return self.told(settings) if self.told else settings
+
     def _figures(self) -> bytes:
         return self.node.counters.lines(self.node.outstanding())
 
@@ -149,12 +152,12 @@
     def _retune(self, new: Settings) -> list[str]:
         """Classes are taken at once, and open requests keep theirs; other settings need a restart."""
         old = self.config.settings
-        union = retuned(old, new)
+        union, taken = retuned(old, new), {spec.name for spec in new.classes}
         said = []
-        if union != old or {spec.name for spec in new.classes} != set(self.balancers.classes):
+        if union != old or taken != set(self.balancers.classes):
             self.config = self.config._replace(settings=union)
-            self.node.retune(union, self.told(union) if self.told else union)
-            self.balancers.retune(union, {spec.name for spec in new.classes})
+            self.node.retune(union, self._module_settings(union))
+            self.balancers.retune(union, taken)
             said.append("classes are " + " ".join(spec.name for spec in new.classes))
         if dataclasses.replace(new, classes=()) != dataclasses.replace(old, classes=()):
             said.append("other settings need a restart")
