Take class and tenant names as they stand, and tell slips with file, key and what is right

Cause: names in the platform's JSON had their commas replaced, as in the simulator's settings by lines, while balancers say them raw: every request of a tenant 'nord, see' was 'bad field org' (settings._plain).

--- a/spindlerelay/node/counters.py
+++ b/spindlerelay/node/counters.py
@@ -4,8 +4,10 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass, field
 
+RESERVED = re.compile(r"[\s:|@#]")  # in a StatsD name
 ENDS = ("succeeded", "declined", "aborted")  # served, refused (never ran), failed: as answers say
 
 
@@ -27,7 +29,7 @@
 
     def lines(self, outstanding: int) -> bytes:
         out = [
-            f"lb.results.{cls}.{name}:{count}|c"
+            f"lb.results.{RESERVED.sub('_', cls)}.{name}:{count}|c"
             for cls, counts in self.results.items()
             for name, count in zip(ENDS, counts, strict=True)
         ]
--- a/spindlerelay/settings.py
+++ b/spindlerelay/settings.py
@@ -9,6 +9,8 @@
 
 from spindlerelay import interface as api
 
+MOST = 10_000  # classes, and tenants: far more than any site has, and a bound on what a slip of the pen costs
+
 
 def pairs_of(text: str) -> dict[str, str]:
     """The mapping in lines of ``name=value``."""
@@ -21,7 +23,7 @@
         return ""
     if isinstance(value, bool):
         return "true" if value else "false"
-    return str(value).replace(",", "_")
+    return str(value)
 
 
 def _flat(path: str, value: Any) -> Iterator[tuple[str, str]]:
@@ -33,7 +35,7 @@
         for index, item in enumerate(value):
             yield from _flat(f"{path}.{index}", item)
     elif isinstance(value, list):
-        yield path, ",".join(map(_plain, value))
+        yield path, ",".join(_plain(item).replace(",", "_") for item in value)
     else:
         yield path, _plain(value)
 
@@ -51,9 +53,9 @@
     try:
         value = float(text)
     except ValueError:
-        raise ValueError(f"setting {key}: {text!r} is not a number") from None
+        raise ValueError(f"setting {key}: {text[:60]!r} is not a number: 0 or more") from None
     if not 0 <= value < float("inf"):
-        raise ValueError(f"setting {key}: {text} makes no sense")
+        raise ValueError(f"setting {key}: {text} makes no sense: a number of 0 or more is wanted")
     return value
 
 
@@ -76,7 +78,7 @@
         if text is None or text == "":
             return absent
         if text not in words:
-            raise ValueError(f"setting {key}: {text!r} is not known")
+            raise ValueError(f"setting {key}: {text[:60]!r} is not known: one of {', '.join(words)}")
         return words[text]
 
     def items(self, key: str) -> list[str]:
@@ -102,7 +104,7 @@
     deadline = pairs.number(f"{path}.deadline-ms", aim)
     skip_worth = "family-info.class-skip-worth"
     if deadline <= 0:
-        raise ValueError(f"setting {path}.deadline-ms: a class needs a time")
+        raise ValueError(f"setting {path}.deadline-ms: a class needs a time above 0, in ms")
     return api.ClassSettings(
         aim_ms=aim or deadline,
         deadline_ms=deadline,
@@ -130,13 +132,17 @@
     """Settings from the mapping; ValueError names the key that makes no sense."""
     pairs = _Pairs(values)
     number = pairs.number
-    cores = int(number("family-info.n-cores", 0))
+    cores, count = int(number("family-info.n-cores", 0)), int(number("classes.count", 0))
     if cores < 1:
         raise ValueError("setting family-info.n-cores: a server needs at least one core")
-    count = int(number("classes.count", 0))
-    if count < 1:
-        raise ValueError("setting classes.count: at least one class is needed")
+    if not 1 <= count <= MOST:
+        raise ValueError(f"setting classes.count: a list of 1 to {MOST} classes is needed")
+    if number("tenants.count", 0) > MOST:
+        raise ValueError(f"setting tenants.count: {MOST} tenants at most")
     tenants = range(int(number("tenants.count", 0)))
+    names = [pairs.values.get(f"classes.{i}.name", "") for i in range(count)]
+    if twice := {name for name in names if name and names.count(name) > 1}:
+        raise ValueError(f"setting classes: {min(twice)!r} names two classes: each needs a name of its own")
     advised = pairs.flag("policy-limits.retry-after")
     return api.Settings(
         cores=cores,
