--- a/spindlerelay/__main__.py
+++ b/spindlerelay/__main__.py
@@ -4,15 +4,15 @@
 
 import signal
 
-# A SIGHUP that comes before there is a handler must not end the process: it waits until there is one.
-signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+# A signal that comes before there is a handler must not end the process at once: it waits until there is one.
+signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGTERM, signal.SIGINT})
 
 # ruff: noqa: E402
 import os
 import sys
 
 from spindlerelay.config.platform import ConfigError, read_config
-from spindlerelay.service import Service, log_to_stderr
+from spindlerelay.service import HELD_BACK, Service, log_to_stderr
 
 
 def main() -> int:
@@ -20,6 +20,8 @@
     if len(sys.argv) > 1:
         from spindlerelay.cli import main as command
 
+        if sys.argv[1] != "run":
+            signal.pthread_sigmask(signal.SIG_UNBLOCK, HELD_BACK)
         return command()
     log_to_stderr()
     try:
--- a/spindlerelay/config/platform.py
+++ b/spindlerelay/config/platform.py
@@ -4,8 +4,10 @@
 from __future__ import annotations
 
 import contextlib
+import os
 import re
 import socket
+import stat
 from typing import Any, NamedTuple
 
 import ujson
@@ -93,6 +95,8 @@
 def read_file(path: str, environ: dict[str, str]) -> Config:
     """The configuration in a file; ConfigError says in one line what is wrong with it."""
     try:
+        if not stat.S_ISREG(os.stat(path).st_mode):  # a pipe that says nothing would hold the loop for ever
+            raise ConfigError(f"{path} is not a plain file: name the node's JSON file")
         with open(path, encoding="utf-8") as file:
             tree = ujson.load(file)
     except OSError as error:
--- a/spindlerelay/features.py
+++ b/spindlerelay/features.py
@@ -7,6 +7,7 @@
 import contextlib
 import dataclasses
 import os
+import signal
 import sys
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -18,7 +19,7 @@
 from spindlerelay.config.platform import Config, ConfigError, read_config
 from spindlerelay.interface import Below, Settings
 from spindlerelay.node.node import Module
-from spindlerelay.service import Service, log_to_stderr
+from spindlerelay.service import HELD_BACK, Service, log_to_stderr
 
 if TYPE_CHECKING:
     from spindlerelay.dependencies.pool import Decider, Pool
@@ -33,6 +34,7 @@
 ) -> int:
     """Run one node to its end; the exit status, 2 with a line for each fault of its files. ``decider`` makes
     what decides about calls, and ``module`` what decides about requests, in place of the product's own."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, HELD_BACK)
     try:
         options = operators.read(path) if path else operators.Operator()
         log_to_stderr(log_format or options.log.format, options.log.level)
--- a/spindlerelay/node/repeats.py
+++ b/spindlerelay/node/repeats.py
@@ -67,7 +67,10 @@
         """The id of the try that this one repeats; or 0, and it stands for the request in this batch."""
         record = self._records.get(key)
         if record:
-            alive = record.until >= min(recv, now) or (record.ran and recv <= record.bound_until)
+            # While the first run is unfinished a repeat past the window waits for it, too: its record holds
+            # those who wait already, and a second run beside the first is no use to anybody.
+            bound = record.bound_until + (0.0 if record.over else LATE_MS)
+            alive = record.until >= min(recv, now) or (record.ran and recv <= bound)
             if alive or record in self._fresh:
                 return record.holder
             self._remove(record)
--- a/spindlerelay/service.py
+++ b/spindlerelay/service.py
@@ -27,6 +27,7 @@
 
 HANDOVER_WAIT_MS = 3000.0  # in a handover the platform waits for the longest deadline, but no more than this
 HANDOVER_MS = 700.0  # and so much after it, before the old process is killed
+HELD_BACK = {signal.SIGHUP, signal.SIGTERM, signal.SIGINT}  # until there are handlers
 if TYPE_CHECKING:
     from spindlerelay.fronts.management import Management
 
@@ -58,20 +59,20 @@
     """Signals as a readable descriptor of the loop: each has a handler that is called there."""
 
     def __init__(self, loop: Loop, handlers: dict[int, Callable[[], None]]) -> None:
-        self.handlers = handlers
+        self.loop, self.handlers = loop, handlers
         self.sock, self.waker = socket.socketpair()
         self.sock.setblocking(False)
         self.waker.setblocking(False)
         signal.set_wakeup_fd(self.waker.fileno(), warn_on_full_buffer=False)
         for number in handlers:
             signal.signal(number, lambda *_: None)
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, HELD_BACK)
         loop.watch(self.sock, selectors.EVENT_READ, self)
 
     def ready(self, mask: int) -> None:
         for number in sorted(set(self.sock.recv(64))):
             if handler := self.handlers.get(number):  # another's signal is told here, too
-                handler()
+                self.loop.survive(handler)  # a fault at SIGHUP must not cost the SIGTERM that came with it
 
     def broken(self) -> None:
         """The descriptor is the process's own: there is nothing to close."""
