End connections by halves and the process by states, so that nothing read or owed is reset

Causes, as a close over unread bytes resets and takes along what the peer has not read: - The process ended over requests that came in its last turn, and over half a line of one; now a last look is read, turned away unrun as Busy, and both sides end within a bound (Node.Phase, LINGER_MS). - Whoever waited in the accept queue past 64, or while a full table held it, was reset as listening ended. - A connection that was asked to go, or lay idle, was closed over a request; a balancer that ended its own side alone lost its answer; a slow writer went deaf 1.5 s after its first byte, however many had come since. - A failed write closed a link over the reply already there; a new store call broke off those in hand on channels that take nothing new; calls to the management address past the most held were closed unread.

--- a/spindlerelay/fronts/balancers.py
+++ b/spindlerelay/fronts/balancers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from enum import Enum
+
 from spindlerelay import interface as api
 from spindlerelay.fronts import msgpackrpc
 from spindlerelay.node.exchange import Ask, Failed, Outcome, Receiver
@@ -14,16 +16,26 @@
 MOST_OPEN = 32  # requests open on one connection, by the protocol
 MOST_BAD = 16  # bad requests on one connection, past which it is asked to go
 STUCK_MS = 15000.0  # an answer that no byte of which was taken for so long: the peer is gone
-BROKEN_MS = 5000.0  # the longest that what a connection without intake still sends is read and dropped
+LINGER_MS = 5000.0  # the longest that what comes after the end of our side is read and dropped
 FIRST_MS = 1500.0  # a connection without a whole request for so long is no balancer's
-HALF_MS = 1500.0  # the same for a request that was begun
+HALF_MS = 1500.0  # the same without another byte of a request that was begun
 FULL_MS = 100.0  # the same while the table is nearly full
 IDLE_FULL_MS = 300.0  # idle for so long, a connection may be asked to go while the table is nearly full
 NEARLY = 0.75  # share of the table past which it is nearly full
 AHEAD_MS = 5000.0  # a request cannot have come later than now, but for clocks that are being set
+MOST_WAITING = 2048  # taken at the end of listening: twice the kernel's queue
 SPARE_MS = 1000.0  # past its class's deadline that a request may state: no balancer waits longer
 
 
+class State(Enum):
+    """Of a connection: what is still heard on it, and what is owed."""
+
+    TAKING = "taking"  # requests are taken
+    LEAVING = "leaving"  # asked to go; what still comes is taken, as it may have crossed the goaway
+    UNHEARD = "unheard"  # nothing more is heard; what was read is owed its answer
+    ENDING = "ending"  # nothing is owed: our side has ended, and what comes is dropped until the peer's does
+
+
 class Link:
     """One balancer's connection."""
 
@@ -31,17 +43,23 @@
         self.front = front
         self.decoder = msgpackrpc.Decoder()
         self.open: dict[int, Ask] = {}
-        self.begun = self.used = self.moved = front.loop.now()
+        self.state = State.TAKING
+        self.begun = self.used = self.moved = self.since = front.loop.now()  # since: of this state
         self.half = 0.0  # since when a request has been half read
         self.asked = False  # a whole request has come
         self.bad = self.unsent = 0
-        self.leaving = 0.0  # when goaway was sent
-        self.deaf = False  # intake has ended
-        self.connection = Connection(front.loop, sock, self._data, self._closed)
+        self.connection = Connection(front.loop, sock, self._data, self._closed, on_end=self._peer_ended)
+
+    def _enter(self, state: State) -> None:
+        self.state, self.since = state, self.front.loop.now()
+
+    @property
+    def heard(self) -> bool:
+        return self.state in (State.TAKING, State.LEAVING)
 
     def _data(self, data: bytes) -> None:
         self.used = self.front.loop.now()
-        if self.deaf:
+        if not self.heard:
             return  # read and dropped: see Connection.end
         calls = self.decoder.feed(data)
         for call in calls:
@@ -50,24 +68,31 @@
             else:
                 self._call(call)
         if self.decoder.broken:
-            self._deafen(self.decoder.broken)
-        elif self.bad > MOST_BAD and not self.leaving:
+            # A stream that lost its framing cannot be trusted again, but what was read is owed an answer.
+            self.half, self.decoder.rest = 0.0, b""
+            self.front.loop.warnings.warn("bad input from a balancer", self.decoder.broken)
+            self._enter(State.UNHEARD)
+            self._end_if_over()
+        elif self.bad > MOST_BAD and self.state is State.TAKING:
             # The framing holds, so what follows can still be answered: to drop it would lose requests that
             # a balancer sent before it heard of the trouble, as when its classes are newer than ours.
             self.front.loop.warnings.warn("bad input from a balancer", "too many bad requests: asked to go")
             self.go_away()
-        elif not self.decoder.rest:
+        if not self.decoder.rest:
             self.half = 0.0
         elif calls or not self.half:
             self.half = self.used
 
-    def _deafen(self, why: str) -> None:
-        """A stream that lost its framing cannot be trusted again, but what was read is owed an answer."""
-        self.deaf = True
-        self.decoder.rest = b""
-        self.leaving = self.front.loop.now()
-        self.front.loop.warnings.warn("bad input from a balancer", why)
+    def _peer_ended(self) -> bool:
+        """The balancer writes no more; it may still read what it asked for. The goaway tells one that ended
+        its side alone from one that is gone, which answers it by a reset."""
+        if self.heard:
+            if self.open:
+                self.go_away()
+            self.half, self.decoder.rest = 0.0, b""
+            self._enter(State.UNHEARD)
         self._end_if_over()
+        return bool(self.open or self.connection.out)
 
     def _call(self, call: msgpackrpc.Call) -> None:
         self.asked = True
@@ -107,21 +132,46 @@
             return
         self.used = self.front.loop.now()
         self.connection.write(msgpackrpc.encode_answer(msgid, outcome, self.front.node.load))
-        if self.deaf:
-            self._end_if_over()
+        self._end_if_over()
+
+    def release(self, msgid: int) -> None:
+        """This request is owed on another connection now."""
+        self.open.pop(msgid, None)
+        self._end_if_over()
 
     def idle(self, now: float) -> float:
         """For how long it has lain idle; 0 where it is at work or has been asked to go."""
-        return 0.0 if self.open or self.leaving else now - self.used
+        return 0.0 if self.open or self.state is not State.TAKING else now - self.used
+
+    def owed(self) -> bool:
+        """Whether bytes are under way on it: unsent, or of a request that is half read."""
+        return bool(self.connection.out) or self.half > 0.0
 
     def go_away(self) -> None:
-        if not self.leaving:
-            self.leaving = self.front.loop.now()
+        if self.state is State.TAKING:
+            self._enter(State.LEAVING)
             self.connection.write(msgpackrpc.GOAWAY)
 
     def _end_if_over(self) -> None:
-        if not self.open:
-            self.connection.end()
+        if self.state is State.UNHEARD and not self.open:
+            self._end()
+
+    def end(self, now_or_never: bool = False) -> None:
+        """Nothing is owed, as far as was read: look once more, and end our side. Nothing that is read after
+        that is heard: it could not be answered, and a balancer sends again what crossed the end. A request
+        that came in the meantime puts the end off."""
+        if self.heard:
+            half = self.half
+            self.connection.look()
+            if self.open or (self.half > half and not now_or_never):
+                return
+        if self.state is not State.ENDING and self.connection.open:
+            self._end()
+
+    def _end(self) -> None:
+        self.half, self.decoder.rest = 0.0, b""
+        self._enter(State.ENDING)
+        self.connection.end()
 
     def _closed(self, opened: bool) -> None:
         asks = list(self.open.values())
@@ -132,27 +182,35 @@
         self.front.left(self)
 
     def sweep(self, now: float, idle_ms: float, full: bool) -> None:
-        """Close what lies idle, what said goodbye, what never asked and what takes nothing of its answers."""
+        """End what lies idle, what said goodbye, what never asked, and close what takes nothing any more."""
         unsent = len(self.connection.out)
         if unsent != self.unsent or not unsent:
             self.unsent, self.moved = unsent, now
-        first_ms = FULL_MS if full else BROKEN_MS if self.deaf else FIRST_MS
-        if now - self.moved > STUCK_MS or (not self.asked and now - self.begun > first_ms):
+        if now - self.moved > STUCK_MS or (not self.connection.reading and self.connection.failed()):
             self.connection.close()
-        elif self.half and now - self.half > HALF_MS and not self.deaf:
-            self._deafen("a request that stopped half way")
+        elif self.state is State.ENDING:
+            if now - self.since > (FULL_MS if full else LINGER_MS):
+                self.connection.close()
         elif self.open:
             return
-        elif self.deaf:
-            if now - self.leaving > BROKEN_MS:
-                self.connection.close()
-        elif self.leaving:
-            # A request that crossed the goaway would be lost by a close at once.
-            if now - max(self.leaving, self.used) > 2 * CROSSING_MS and not unsent:
-                self.connection.close()
+        elif self.half:
+            self._sweep_half(now, full)
+        elif not self.asked and now - self.begun > (FULL_MS if full else FIRST_MS):
+            self.end()
+        elif self.state is State.LEAVING:
+            # A request that crossed the goaway would be lost by an end at once.
+            if now - max(self.since, self.used) > 2 * CROSSING_MS and not unsent:
+                self.end()
         elif now - self.used >= idle_ms:
             self.go_away()
 
+    def _sweep_half(self, now: float, full: bool) -> None:
+        """A slow writer is heard out while its bytes come, up to the end of any request's time."""
+        stalled = now - self.used > (FULL_MS if full and not self.asked else HALF_MS)
+        if stalled or now - self.half > self.front.patience_ms:
+            self.front.loop.warnings.warn("bad input from a balancer", "a request that stopped half way")
+            self.end()
+
 
 class Balancers:
     """The listening socket and all connections of balancers."""
@@ -166,7 +224,7 @@
         node: Receiver,
         inherited: int | None = None,
     ) -> None:
-        self.loop, self.node = loop, node
+        self.loop, self.node, self.inherited = loop, node, inherited is not None
         self.retune(settings, {spec.name for spec in settings.classes})
         self.most = max(8, sockets - OWN_SOCKETS)
         self.idle_ms = settings.caller_idle_ms or float("inf")
@@ -182,6 +240,7 @@
         self.keyed = [spec.effect is api.Effect.KEYED for spec in settings.classes]
         self.tenants = {name: index for index, name in enumerate(settings.tenant_names)}
         self.longest_ms = [spec.deadline_ms + SPARE_MS for spec in settings.classes]
+        self.patience_ms = max(self.longest_ms)
 
     def _accept(self, sock: Socket) -> None:
         link = Link(self, sock)
@@ -216,8 +275,15 @@
             link.answer(msgid, outcome)
 
     def reachable(self, ask: Ask) -> bool:
-        """Whether an answer would still reach its balancer."""
-        return ask in self.places
+        """Whether an answer would still reach its balancer for sure: not one that has ended its side."""
+        link, _ = self.places.get(ask, (None, 0))
+        return link is not None and link.connection.reading
+
+    def release(self, ask: Ask) -> None:
+        """Nothing is owed on this connection any more: the balancer has sent the request again on another."""
+        link, msgid = self.places.pop(ask, (None, 0))
+        if link:
+            link.release(msgid)
 
     def close_idle(self, for_ms: float) -> None:
         self.idle_ms = for_ms
@@ -229,10 +295,23 @@
             link.go_away()
 
     def quiet(self) -> bool:
-        """No request is open and all answers are sent."""
-        return not self.places and not any(link.connection.out for link in self.links)
+        """No request is open or half read, and all answers are sent."""
+        return not self.places and not any(link.owed() for link in self.links)
 
     def stop(self) -> None:
-        """Take nobody any more, not leaving unread those whom the kernel has let in."""
-        self.listener.ready(0)
-        self.listener.close()
+        """Take nobody any more, not leaving unread those whom the kernel has let in. An inherited socket is
+        left as it is: the process that takes over serves who waits there."""
+        if self.inherited:
+            self.listener.close()
+        else:
+            self.listener.finish(MOST_WAITING)
+
+    def end(self, now_or_never: bool) -> None:
+        """End every connection on which nothing is owed; after the listening socket, before the process."""
+        for link in list(self.links):
+            if not link.open:
+                link.end(now_or_never)
+
+    def over(self) -> bool:
+        """Every connection has ended on both sides: no byte is under way."""
+        return not self.links
--- a/spindlerelay/fronts/management.py
+++ b/spindlerelay/fronts/management.py
@@ -42,7 +42,7 @@
     def __init__(self, front: Management, sock: Socket) -> None:
         self.front, self.begun, self.url, self.size, self.done = front, front.loop.now(), b"", 0, False
         self.parser = httptools.HttpRequestParser(self)
-        self.connection = Connection(front.loop, sock, self._data, self._closed)
+        self.connection = Connection(front.loop, sock, self._data, self._closed, on_end=self._peer_ended)
 
     def _data(self, data: bytes) -> None:
         if self.done:
@@ -80,6 +80,14 @@
         self.connection.write(response(status, body))
         self.connection.end()
 
+    def _peer_ended(self) -> bool:
+        return bool(self.connection.out)
+
+    def give_up(self) -> None:
+        """Close it, but answer a call that has come since it was last read."""
+        self.connection.look()
+        self.connection.close()
+
     def _closed(self, opened: bool) -> None:
         self.front.calls.pop(self, None)
 
@@ -98,7 +106,7 @@
 
     def _accept(self, sock: Socket) -> None:
         while len(self.calls) >= MOST:
-            next(iter(self.calls)).connection.close()
+            next(iter(self.calls)).give_up()
         self.calls[_Call(self, sock)] = None
 
     def _sweep(self) -> None:
@@ -106,10 +114,12 @@
         self.loop.after(SWEEP_MS, self._sweep)
         now = self.loop.now()
         for call in list(self.calls):
-            if now - call.begun > (2 * FIRST_MS if call.done else FIRST_MS):
+            if call.done and now - call.begun > 2 * FIRST_MS:
                 call.connection.close()
+            elif not call.done and now - call.begun > FIRST_MS:
+                call.give_up()
 
     def close(self) -> None:
         self.listener.close()
         for call in list(self.calls):
-            call.connection.close()
+            call.give_up()
--- a/spindlerelay/node/node.py
+++ b/spindlerelay/node/node.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from enum import Enum
 from typing import Any, NamedTuple, Protocol
 
 from loguru import logger
@@ -25,7 +26,10 @@
 EXPIRE_MS = 1000.0  # between looks at the table of repeats
 LEAVE_MS = 150.0  # of the time until the process is stopped that is kept for the last answers to leave
 SHUT_MS = 400.0  # of that time that is kept for what came in just before the listening socket closed
+SLACK_MS = 50.0  # by which every time limit is longer on sockets, by the protocol: the window of a key, too
 UNREACHED_SHARE = 0.7  # of the shortest aim without a link to the interpreter: then nothing is served in time
+LAST_MS = 30.0  # of that time that is left when the process ends: the exit itself
+LINGER_MS = 200.0  # that peers have to end their sides at the end: four times a goaway's crossing
 QUIET_MS = 200.0  # with nothing open, after which nothing more is under way: four times a goaway's crossing
 
 ENDS = {
@@ -36,6 +40,16 @@
 }
 
 
+class Phase(Enum):
+    """Of a node, in this order. Once it leaves, ``Node._leave`` alone goes from one to the next."""
+
+    SERVING = "serving"
+    DRAINING = "draining"  # leaving, and connections are taken: what they bring is owed an answer
+    SHUT = "shut"  # no connection is taken; what comes on those that stand is owed an answer
+    ENDING = "ending"  # all is answered: connections end, and what is read meanwhile is turned away unrun
+    ENDED = "ended"  # no byte is under way
+
+
 class Module(Protocol):
     """The decision module, as far as the node knows it."""
 
@@ -138,8 +152,8 @@
         self._next_id = 1
         self._alarms = 0
         self._started = False
-        self._quiet_since = 0.0
-        self._shut = False
+        self.phase = Phase.SERVING
+        self._quiet_since = self._ending_since = 0.0
         self._handover = False
         self._carry: dict[type, Callable[[Any], None]] = {
             api.Run: self._run, api.Refuse: self._refuse, api.Fail: self._fail, api.Call: self._call,
@@ -183,7 +197,7 @@
         In a ``handover`` a newer process of the same name takes the shared listening socket: this one stops
         taking connections at once and falls silent to the list, which follows the reports of both, instead
         of saying that the node takes no work."""
-        if self.stop_at < float("inf"):
+        if self.phase is not Phase.SERVING:
             return
         now = self.loop.now()
         how = ", handing over" if handover else ""
@@ -192,40 +206,61 @@
         self._inbox.append(api.Drain(max(0.0, left_ms - LEAVE_MS)))
         if handover:
             self.announcer.stop()
+        self.phase, self._handover, self._quiet_since = Phase.DRAINING, handover, now
         self._tell_health()
         for front in self.fronts:
             front.drain()
-            if handover:
-                front.stop()
-        self._shut = self._handover = handover
+        if handover:
+            self._shut()
         self.loop.wheel.at(self.stop_at - LEAVE_MS, self._answer_all)
         self._leave()
 
     def _leave(self) -> None:
-        """Close the listening socket once nothing is open and nothing more may be run, or at the last moment.
-        End only when what came in until then is answered, too: to end at once would reset a connection
-        whose request was just written, and lose it."""
+        """The one place that decides that nothing more is owed, phase by phase. Connections are no longer
+        taken once nothing is open and nothing more may be run, or at the last moment; and the process ends
+        when what came in until then is answered, too, and the connections have ended on both sides. To end
+        at once would reset a connection whose request was just written, and lose it."""
         now = self.loop.now()
-        open_tries = any(not work.answered for work in self._tries.values())
-        if open_tries or not all(front.quiet() for front in self.fronts):
+        if self.outstanding() or not all(front.quiet() for front in self.fronts):
             self._quiet_since = now
         # In a handover nothing new comes once the listening socket is closed: what is answered may leave.
         quiet = (now > self.last_run or self._handover) and now - self._quiet_since > QUIET_MS
-        if self._shut and (quiet or now >= self.stop_at - LEAVE_MS / 2):
-            self._answer_all()
-            self.loop.running = False
-            logger.info("left: everything read is answered")
-            return
-        if not self._shut and (quiet or now >= self.stop_at - SHUT_MS):
-            self._shut, self._quiet_since = True, now
+        if self.phase is Phase.DRAINING and (quiet or now >= self.stop_at - SHUT_MS):
+            self._shut()
+        elif self.phase is Phase.SHUT and (quiet or now >= self.stop_at - LEAVE_MS / 2):
+            self.phase, self._ending_since = Phase.ENDING, now
+        if self.phase is Phase.ENDING:
+            self._end(now)
+        if self.phase is not Phase.ENDED:
+            self.loop.after(2 * TICK_MS, self._leave)
+
+    def _shut(self) -> None:
+        self.phase, self._quiet_since = Phase.SHUT, self.loop.now()
+        for front in self.fronts:
+            front.stop()
+
+    def _end(self, now: float) -> None:
+        """Whatever a last look at the connections brings is answered before they end."""
+        last = now >= min(self.stop_at - LAST_MS, self._ending_since + LINGER_MS)
+        for _ in range(2 if last else 1):
+            self._turn_away()
             for front in self.fronts:
-                front.stop()
-        self.loop.after(2 * TICK_MS, self._leave)
+                front.end(last)
+        if last or all(front.over() for front in self.fronts):
+            self.phase, self.loop.running = Phase.ENDED, False
+            logger.info("left: everything read is answered")
 
     def _answer_all(self) -> None:
         for work in list(self._tries.values()):
             self._overdue(work)
 
+    def _turn_away(self) -> None:
+        """What was read as the connections end: it never runs here, and another node may be asked."""
+        for work in [work for work in self._tries.values() if not work.answered]:
+            started = work.running or work.leader or self._ran(work)
+            self._give_up(work, Failed() if started else Refused())
+            self._inbox.append(api.Gone(work.id))
+
     def take(self, front: Front, ask: Ask) -> None:
         """A request has been read."""
         now = self.loop.now()
@@ -237,6 +272,7 @@
             if earlier.answered or earlier.front.reachable(earlier.ask) or not same:
                 self._tell(front, ask, Failed("Duplicate: this call is being worked on"))
             else:
+                earlier.front.release(earlier.ask)
                 earlier.front, earlier.ask = front, ask
             return
         spec = self.settings.classes[ask.cls]
@@ -251,7 +287,7 @@
         original = 0
         if spec.effect is api.Effect.KEYED:
             work.key = ask.dedupe
-        elif ask.row and self.settings.fresh_ms > 0:
+        elif ask.row and self.settings.fresh_ms > 0 and spec.effect is api.Effect.SAFE:
             work.key = (ask.cls, ask.row)
         if work.key is not None:
             original = self.repeats.link(work.key, rid, ask.recv, now, ask.content())
@@ -315,7 +351,7 @@
 
     def ready(self) -> bool:
         """Whether this process serves: its interpreter is up, and it has no notice to leave."""
-        return self._started and self.stop_at == float("inf")
+        return self._started and self.phase is Phase.SERVING
 
     def outstanding(self) -> int:
         """Requests taken and not yet answered."""
@@ -369,7 +405,7 @@
             return
         spec, keyed = self.settings.classes[work.ask.cls], isinstance(work.key, str)
         # Dated by the reading, too: a clock set ahead before the notice makes every recv look older.
-        late = max(work.read, work.ask.recv) > self.last_run
+        late = max(work.read, work.ask.recv) > self.last_run or self.phase is Phase.ENDING
         if late or (keyed and work.key is not None and not self.repeats.may_run(work.id, work.key)):
             # Guards two rules against the module: no second run of a keyed request, none past the grace.
             why = "past the grace of the notice to leave" if late else "entry of a keyed request lost"
@@ -377,7 +413,7 @@
             self._give_up(work, Failed() if self._ran(work) else Refused())
             self._inbox.append(api.Done(work.id, api.Outcome.MOOT))
             return
-        bound_until = work.ask.recv + spec.key_window_ms + TICK_MS
+        bound_until = work.ask.recv + spec.key_window_ms + SLACK_MS + TICK_MS
         now = self.loop.now()
         if keyed and self.claims is not None and not self.claims.claim(str(work.key), now, bound_until):
             # Guards the rule across processes: another process of this node holds the key, may have run it.
@@ -407,7 +443,7 @@
             outcome = unknown if ran.result is None else Served(ran.result)
         elif self._ran(work):
             outcome = Failed()
-        elif work.read < work.ask.due and self.stop_at == float("inf"):
+        elif work.read < work.ask.due and self.phase is Phase.SERVING:
             self.refused += 1
         self._give_up(work, outcome)
 
@@ -481,7 +517,7 @@
 
     def _tell_health(self) -> None:
         """What health checks and the list hear: the module's word, unless something else forbids new work."""
-        leaving = self.stop_at < float("inf")
+        leaving = self.phase is not Phase.SERVING
         self.healthy = self._good and not (leaving or self._unreached or self._maintained)
         self.announcer.tell(self.healthy)
 
--- a/spindlerelay/peers/store.py
+++ b/spindlerelay/peers/store.py
@@ -17,6 +17,7 @@
 from spindlerelay.transport.wheel import Timer
 
 MOST_CHANNELS = 16  # connections at once: more than the calls that a node usually has in hand
+MOST_IN_ALL = 64  # with those that take nothing new and wait for what is in hand
 IDLE_MS = 75.0  # past this a channel is not used again: some were seen to be forgotten after 100 ms
 SWEEP_MS = 50.0  # between looks for idle channels and for replies that stopped half way
 STALL_MS = 500.0  # a reply that was begun and goes no further for so long is spoilt
@@ -186,8 +187,10 @@
         best = min(fit, key=lambda c: len(c.calls), default=None)
         if best and (not best.calls or len(self.channels) >= MOST_CHANNELS):
             return best
-        if len(self.channels) >= MOST_CHANNELS:
-            min(self.channels, key=lambda c: len(c.calls)).close()
+        if len(self.channels) >= MOST_CHANNELS and (idle := [c for c in self.channels if not c.calls]):
+            idle[0].close()  # never one with calls in hand: they would come to a reset for the new one's sake
+        elif len(self.channels) >= MOST_IN_ALL:
+            return min(self.channels, key=lambda c: (c.retired, len(c.calls)))
         channel = Channel(self)
         self.channels[channel] = None
         if wait > 0:
--- a/spindlerelay/transport/loop.py
+++ b/spindlerelay/transport/loop.py
@@ -19,6 +19,7 @@
 READ_BYTES = 16384  # per connection and round: bounds what one peer adds before the others get their turn
 OUT_HIGH = 16384  # bytes unsent past which nothing more is read from a peer: it asks but does not read
 ACCEPTS = 64  # connections taken in one round
+LOOKS = 8  # rounds of the last look at a connection before its end: more than 32 whole requests take
 LOG_EVERY_MS = 1000.0
 STOOD_MS = 25.0  # past a timer's due time with nothing read: the process may have been stopped meanwhile
 
@@ -100,14 +101,14 @@
             found = self._selector.select(0.0)
         for key, mask in found:
             handler: Ready = key.data
-            if not self._survive(lambda handler=handler, mask=mask: handler.ready(mask)):  # type: ignore[misc]
-                self._survive(handler.broken)
+            if not self.survive(lambda handler=handler, mask=mask: handler.ready(mask)):  # type: ignore[misc]
+                self.survive(handler.broken)
         for timer in self.wheel.due(self.now()):
-            self._survive(timer.action)
-        self._survive(settle)
+            self.survive(timer.action)
+        self.survive(settle)
         self.flush()
 
-    def _survive(self, action: Callable[[], None]) -> bool:
+    def survive(self, action: Callable[[], None]) -> bool:
         """Nothing that a peer sends, nor a timer, may end the program."""
         try:
             action()
@@ -120,8 +121,8 @@
         while self._dirty:
             batch, self._dirty = self._dirty, {}
             for connection in batch:
-                if not self._survive(connection.flush):
-                    self._survive(connection.broken)
+                if not self.survive(connection.flush):
+                    self.survive(connection.broken)
 
 
 def _drop(_: object) -> None:
@@ -130,7 +131,11 @@
 
 class Connection:
     """A non-blocking stream socket with an output buffer. ``on_data`` gets what was read; ``on_close`` is
-    called once, with True where the connection had been established."""
+    called once, with True where the connection had been established.
+
+    Either direction ends by itself. Where the peer ends its own, ``on_end`` tells whether it is still owed
+    something: then what is written reaches it, until ``end``; without one the connection closes. A close over
+    unread bytes resets, and costs the peer what it has not read: so ``end``, and read on, then close."""
 
     def __init__(
         self,
@@ -139,27 +144,38 @@
         on_data: Callable[[bytes], None],
         on_close: Callable[[bool], None],
         on_open: Callable[[], None] | None = None,
+        on_end: Callable[[], bool] | None = None,
     ) -> None:
         self.loop, self.sock = loop, sock
-        self.on_data, self.on_close, self.on_open = on_data, on_close, on_open
+        self.on_data, self.on_close, self.on_open, self.on_end = on_data, on_close, on_open, on_end
         self.out = bytearray()
-        self.open = True
+        self.open = self.reading = self.writing = True
         self.opening = on_open is not None
-        self.ending = False
         self._mask = selectors.EVENT_WRITE if self.opening else selectors.EVENT_READ
         loop.watch(sock, self._mask, self)
 
     def write(self, data: bytes) -> None:
         """Queue for the end of the turn: one send for all that a turn writes to a peer."""
-        if self.open and not self.ending:
+        if self.open and self.writing:
             self.out += data
             self.loop.dirty(self)
 
     def end(self) -> None:
         """Say that no more is written, once all is sent; the connection closes when the peer's side ends. To
         close at once while the peer still writes would reset it, and it might lose what it had not read."""
-        self.ending = True
-        self.loop.dirty(self)
+        if self.open and self.writing:
+            self.writing = False
+            self.flush()
+
+    def look(self) -> None:
+        """Read what has come since this turn gathered: the last look before an end."""
+        for _ in range(LOOKS):
+            if not self.open or not self.reading or self.opening or not self._read():
+                return
+
+    def failed(self) -> bool:
+        """Whether the peer has reset it; for whoever reads it no more, whom the selector tells nothing."""
+        return self.open and self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
 
     def close(self) -> None:
         if not self.open:
@@ -170,7 +186,7 @@
         self.out.clear()
         on_close = self.on_close
         # Its owner and this hold one another: without this the memory of each connection would stay for long.
-        self.on_data, self.on_close, self.on_open = _drop, _drop, None
+        self.on_data, self.on_close, self.on_open, self.on_end = _drop, _drop, None, None
         on_close(not self.opening)
 
     broken = close
@@ -181,7 +197,7 @@
         if self.opening:
             self._opened()
             return
-        if mask & selectors.EVENT_READ and self.open:
+        if mask & selectors.EVENT_READ and self.open and self.reading:
             self._read()
         if mask & selectors.EVENT_WRITE and self.open:
             self.flush()
@@ -195,17 +211,23 @@
         if self.on_open:
             self.on_open()
 
-    def _read(self) -> None:
+    def _read(self) -> bool:
+        """Whether there was anything."""
         try:
             data = self.sock.recv(READ_BYTES)
         except (BlockingIOError, InterruptedError):
-            return
+            return False
         except OSError:
-            data = b""
-        if not data:
             self.close()
-        else:
+            return False
+        if data:
             self.on_data(data)
+        elif (self.writing or self.out) and self.on_end is not None and self.on_end():
+            self.reading = False
+            self._remask()
+        else:
+            self.close()
+        return bool(data)
 
     def flush(self) -> None:
         if not self.open or self.opening:
@@ -216,19 +238,32 @@
             except (BlockingIOError, InterruptedError):
                 sent = 0
             except OSError:
-                self.close()
+                self._unsendable()
                 return
             del self.out[:sent]
-        if self.ending and not self.out:
+        if not self.writing and not self.out:
+            if not self.reading:  # both sides have ended
+                self.close()
+                return
             with contextlib.suppress(OSError):
                 self.sock.shutdown(socket.SHUT_WR)
         self._remask()
 
+    def _unsendable(self) -> None:
+        """The peer takes nothing more, yet what it said before may lie unread: it is read to its end, which
+        closes. Without this the reply that a peer wrote ahead of its end is lost with the connection."""
+        if not self.reading:
+            self.close()
+            return
+        self.writing = False
+        self.out.clear()
+        self._remask()
+
     def _remask(self) -> None:
         if not self.open or self.opening:
             return
         # A peer that does not read gets no further hearing until it does: its answers would pile up here.
-        mask = 0 if len(self.out) > OUT_HIGH else selectors.EVENT_READ
+        mask = selectors.EVENT_READ if self.reading and len(self.out) <= OUT_HIGH else 0
         mask |= selectors.EVENT_WRITE if self.out else 0
         if mask == self._mask:
             return
@@ -279,22 +314,40 @@
 
     def ready(self, mask: int) -> None:
         for _ in range(ACCEPTS):
-            if self.held or not self.open:
-                return
-            try:
-                sock, _ = self.sock.accept()
-            except (BlockingIOError, InterruptedError):
+            if self.held or not self._accept():
                 return
-            except OSError as error:
-                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS):
-                    # Out of descriptors: without a pause the loop would spin on the waiting connection.
-                    self.loop.warnings.warn("cannot accept", str(error))
-                    self.hold(True)
-                    self.loop.after(100.0, lambda: self.hold(False))
-                return
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.on_accept(sock)
+
+    def _accept(self) -> bool:
+        """Whether one was taken."""
+        if not self.open:
+            return False
+        try:
+            sock, _ = self.sock.accept()
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError as error:
+            if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS):
+                # Out of descriptors: without a pause the loop would spin on the waiting connection.
+                self.loop.warnings.warn("cannot accept", str(error))
+                self.hold(True)
+                self.loop.after(100.0, lambda: self.hold(False))
+                return False
+            return error.errno == errno.ECONNABORTED  # this one has gone; the next may be there
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.on_accept(sock)
+        return True
+
+    def finish(self, most: int) -> None:
+        """Listen no more, and take whoever waits in the kernel's queue, at most so many, also where new ones
+        were held back: to close over them resets them, with whatever they have written. Nothing stands
+        between the last look at the queue and the close, as whoever comes between is reset."""
+        self.loop.forget(self.sock)
+        for _ in range(most):
+            if not self._accept():
+                break
+        self.sock.close()
+        self.open = False
 
     def hold(self, held: bool) -> None:
         if not self.open or held == self.held:
