Let no last look at a connection bring a request that nobody answers any more

Cause: as the process ended, the last of two looks could read one request more, after all was answered; in a handover, within the grace, the module's Run for it then went out. Now the end that must come is without a look: what crossed it is the balancer's to send again, and no run begins once connections end. Test: one request at each look of a handover; without the change its last one is run (fails), with it all others are answered Busy and nothing runs. Test clients set TCP_NODELAY, as Nagle held their second write back.

--- a/spindlerelay/fronts/balancers.py
+++ b/spindlerelay/fronts/balancers.py
@@ -159,11 +159,11 @@
     def end(self, now_or_never: bool = False) -> None:
         """Nothing is owed, as far as was read: look once more, and end our side. Nothing that is read after
         that is heard: it could not be answered, and a balancer sends again what crossed the end. A request
-        that came in the meantime puts the end off."""
-        if self.heard:
+        that came in the meantime puts the end off; ``now_or_never`` there is no look."""
+        if self.heard and not now_or_never:
             half = self.half
             self.connection.look()
-            if self.open or (self.half > half and not now_or_never):
+            if self.open or self.half > half:
                 return
         if self.state is not State.ENDING and self.connection.open:
             self._end()
@@ -306,7 +306,7 @@
         else:
             self.listener.finish(MOST_WAITING)
 
-    def end(self, now_or_never: bool) -> None:
+    def end(self, now_or_never: bool = False) -> None:
         """End every connection on which nothing is owed; after the listening socket, before the process."""
         for link in list(self.links):
             if not link.open:
--- a/spindlerelay/node/node.py
+++ b/spindlerelay/node/node.py
@@ -242,10 +242,13 @@
     def _end(self, now: float) -> None:
         """Whatever a last look at the connections brings is answered before they end."""
         last = now >= min(self.stop_at - LAST_MS, self._ending_since + LINGER_MS)
-        for _ in range(2 if last else 1):
+        self._turn_away()
+        for front in self.fronts:
+            front.end()
+        if last:
             self._turn_away()
             for front in self.fronts:
-                front.end(last)
+                front.end(now_or_never=True)
         if last or all(front.over() for front in self.fronts):
             self.phase, self.loop.running = Phase.ENDED, False
             logger.info("left: everything read is answered")
@@ -405,7 +408,7 @@
             return
         spec, keyed = self.settings.classes[work.ask.cls], isinstance(work.key, str)
         # Dated by the reading, too: a clock set ahead before the notice makes every recv look older.
-        late = max(work.read, work.ask.recv) > self.last_run or self.phase is Phase.ENDING
+        late = max(work.read, work.ask.recv) > self.last_run or self.phase in (Phase.ENDING, Phase.ENDED)
         if late or (keyed and work.key is not None and not self.repeats.may_run(work.id, work.key)):
             # Guards two rules against the module: no second run of a keyed request, none past the grace.
             why = "past the grace of the notice to leave" if late else "entry of a keyed request lost"
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -114,6 +114,7 @@
     def __init__(self, address: str) -> None:
         super().__init__(address)
         self.sock.settimeout(0.0)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # a second write must not wait
         self.got: list[Any] = []
         self.ended = ""  # by "end", as TCP's own end, or "reset"
 
@@ -226,6 +227,27 @@
     assert not stand.applied()
 
 
+def test_no_look_is_the_last_with_a_request_left_that_then_runs_though_nobody_answers_it(
+    stand: Stand, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The very last look read one, past all that answers; in a handover, within the grace, it was run."""
+    monkeypatch.setattr(front_module, "CROSSING_MS", 10_000.0)
+    client, end = stand.client(), stand.front.end
+    stand.runs = True
+    told = vars(stand.node.settings) | {"drain_grace_ms": 60_000.0}
+    stand.node.settings = stand.node.settings.__class__(**told)
+
+    def asked_at_each_look(*args: Any, **more: Any) -> None:
+        client.send(client.frame())
+        end(*args, **more)
+
+    monkeypatch.setattr(stand.front, "end", asked_at_each_look)
+    stand.node.drain(3000.0, handover=True)
+    stand.end()
+    assert client.last > 3 and client.answers() == list(range(1, client.last))  # the last crossed the end
+    assert set(client.said()) == {"Busy"} and not stand.applied() and not stand.node.outstanding()
+
+
 def test_the_last_answer_before_the_exit_arrives_though_bytes_of_its_balancer_lie_unread(
     stand: Stand, monkeypatch: pytest.MonkeyPatch
 ) -> None:
