--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -51,11 +51,11 @@
             KEYED._replace(name="order", key_window_ms=window_ms),
             UNSAFE._replace(name="seal"),
             fresh_ms=500.0,
+            drain_grace_ms=grace_ms,
         )
         self.node = Node(self.loop, told, self.module)
         self.node.interpreter = self.node.store = self.node.announcer = self.peers  # type: ignore[assignment]
         self.node._on_up(Banner("running", 0.0))
-        self.node.settings = told.__class__(**{**vars(told), "drain_grace_ms": grace_ms})
         self.front = Balancers(self.loop, ("127.0.0.1", 0), told, sockets, self.node)
         self.node.add_front(self.front)
         self.address = f"127.0.0.1:{self.front.listener.sock.getsockname()[1]}"
@@ -182,6 +182,17 @@
     setattr(owner, name, wrapped)
 
 
+def with_an_unread_answer(stand: Stand) -> Client:
+    """A balancer that has read nothing yet of an answer, most of which waits in the kernel."""
+    client = stand.client()
+    client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+    stand.runs = True
+    client.send(client.frame())
+    assert stand.turn(stand.node.outstanding)
+    stand.value(next(iter(stand.node._calls)), b"r" * 60_000)
+    return client
+
+
 def at_the_end(stand: Stand, action: Callable[[], object]) -> None:
     """Do this in the turn in which the process has found that all is answered, and ends its connections."""
     once(stand.node, "_turn_away", action)
@@ -228,14 +239,13 @@
 
 
 def test_no_look_is_the_last_with_a_request_left_that_then_runs_though_nobody_answers_it(
-    stand: Stand, monkeypatch: pytest.MonkeyPatch
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """The very last look read one, past all that answers; in a handover, within the grace, it was run."""
     monkeypatch.setattr(front_module, "CROSSING_MS", 10_000.0)
+    stand = Stand(grace_ms=60_000.0)
     client, end = stand.client(), stand.front.end
     stand.runs = True
-    told = vars(stand.node.settings) | {"drain_grace_ms": 60_000.0}
-    stand.node.settings = stand.node.settings.__class__(**told)
 
     def asked_at_each_look(*args: Any, **more: Any) -> None:
         client.send(client.frame())
@@ -253,13 +263,7 @@
 ) -> None:
     """A close over unread bytes resets, and takes with it what was not yet read of the answers."""
     monkeypatch.setattr(front_module, "CROSSING_MS", 10_000.0)
-    client = stand.client()
-    client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
-    stand.runs = True
-    client.send(client.frame())
-    assert stand.turn(stand.node.outstanding)
-    call = next(iter(stand.node._calls))
-    stand.value(call, b"r" * 60_000)  # most of it waits in the kernel: the balancer reads none of it yet
+    client = with_an_unread_answer(stand)
     at_the_end(stand, lambda: client.send(client.frame()[:20]))
     stand.node.drain(3000.0)
     stand.end()
@@ -377,12 +381,7 @@
 ) -> None:
     """Its next bytes lay unread as a connection that was asked to go was closed: a reset took its answer."""
     monkeypatch.setattr(front_module, "HALF_MS", 100.0)
-    client = stand.client()
-    client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
-    stand.runs = True
-    client.send(client.frame())
-    assert stand.turn(stand.node.outstanding)
-    stand.value(next(iter(stand.node._calls)), b"r" * 60_000)
+    client = with_an_unread_answer(stand)
     link = next(iter(stand.front.links))
     link.go_away()
     late_bytes(stand, client, client.frame()[:30])
