--- a/spindlerelay/membership/link.py
+++ b/spindlerelay/membership/link.py
@@ -140,7 +140,8 @@
 
     def _look(self, now: float) -> None:
         vitals, weigher = self.node.vitals(), self.weigher
-        power = 1000.0 * self.cores / vitals.core_ms if vitals.core_ms > 0.0 else 0.0
+        known = vitals.core_ms > 0.0 and not vitals.warm_in_ms  # a cold one's slow runs tell of no core
+        power = 1000.0 * self.cores / vitals.core_ms if known else 0.0
         weigher.feel(now, min(1.0, vitals.busy), power)
         if self.options.weigh:
             others = ((each.digest, now - each.emitted) for each in self.core.alive())
--- a/spindlerelay/membership/weigher.py
+++ b/spindlerelay/membership/weigher.py
@@ -30,7 +30,8 @@
 TELL_SHARE, GAP_MS = 0.08, 4000.0
 LEAST_KNOWN = 3  # others, without whom there is no mean to go by
 AGE_MS = 8000.0  # in which a digest loses all but 1/e of its say
-BUSY_MS, POWER_MS = 3000.0, 6000.0  # over which a node's own figures are taken
+BUSY_MS = 3000.0  # over which a node's own busy share is taken
+POWER_MS = 20_000.0  # and its power: runs differ tenfold, and few end in a second, so less is chance
 IDLE_BUSY = 0.3  # of the fleet: below it nobody is in anyone's way
 MOST_LEAN = 0.3  # of the traffic that a node warns off by itself
 
@@ -52,15 +53,18 @@
         self.busy = self.power = 0.0
         self._phase = rng.uniform(0.0, STEP_MS)
         self._last = self._step_at = -math.inf
+        self._felt = 0  # figures of power so far
         self._told_at = -math.inf
 
     def feel(self, now: float, busy: float, power: float) -> None:
-        """The node's own figures at a time: 0 power where none is known yet."""
+        """The node's own figures at a time: 0 power where none is known, as of a cold one. The first figures
+        of power count alike, or the very first would stand for long."""
         span = now - self._last if self._last > -math.inf else math.inf
         self._last = now
         self.busy += (busy - self.busy) * _part(span, BUSY_MS)
         if power > 0.0:
-            self.power += (power - self.power) * (_part(span, POWER_MS) if self.power else 1.0)
+            self._felt += 1
+            self.power += (power - self.power) * max(_part(span, POWER_MS), 1.0 / self._felt)
 
     def step(self, now: float, others: Iterable[tuple[Digest, float]]) -> Weighed:
         """What to tell, by the digests of the others and their ages in ms."""
