Give callers that know weights alone even turns within their part of the ring

routing.rotation is smooth weighted round robin by earliest turn, within the caller's part of the ring; habit 'turns' of the emulator's balancers; the drill of even load plays it as 'weights'. 'weighted' still draws.

--- a/spindlerelay/lab/drills/spread.py
+++ b/spindlerelay/lab/drills/spread.py
@@ -108,7 +108,7 @@
 
 def spec_of(job: Job) -> StageSpec:
     length = LENGTH_MS if job.nodes >= MANY else SHORT_MS
-    names = MIXED if job.who in ("mixed", "few") else ("weighted",) if job.who == "weights" else (job.who,)
+    names = MIXED if job.who in ("mixed", "few") else ("turns",) if job.who == "weights" else (job.who,)
     balancers, listed = max(4, job.nodes // BALANCERS_EACH), job.who in TALKING
     load = LIGHT if job.story in BELIEFS else LOAD
     return StageSpec(
--- a/spindlerelay/lab/models/balancer.py
+++ b/spindlerelay/lab/models/balancer.py
@@ -9,13 +9,14 @@
 
 from spindlerelay.consul.api import Node as Instance
 from spindlerelay.routing.chooser import Chooser, Place, by_health
+from spindlerelay.routing.rotation import Rotation
 
 
 class Habit(NamedTuple):
-    """``choose`` is round, least, weighted, two (the less used of two drawn), chance, routed (by
-    ``spindlerelay.routing``), or knowing: the least loaded of all by their true states, which no balancer
-    could know. ``tries`` bounds the tries of one
-    request; 0 is no bound."""
+    """``choose`` is round, least, weighted (drawn by weight), turns (by weight, ``routing.rotation``), two
+    (the less used of two drawn), chance, routed (by ``spindlerelay.routing``), or knowing: the least loaded
+    of all by their true states, which no balancer could know. ``tries`` bounds the tries of one request; 0
+    is no bound."""
 
     choose: str = "round"
     tries: int = 3  # a walk down the list after refusals and broken connections
@@ -30,6 +31,7 @@
     "steady": Habit(),
     "least": Habit("least"),
     "weighted": Habit("weighted"),
+    "turns": Habit("turns"),
     "deaf": Habit(heeds=False),
     "once": Habit(tries=1),
     "unmarked": Habit(marks=False),
@@ -86,6 +88,7 @@
         self.hand: dict[str, float] = {}  # true load of each node, told to one that chooses by it
         self._turn = rng.randrange(1 << 16)
         self.chooser = Chooser(rng, place) if habit.choose == "routed" else None
+        self.rotation = Rotation(rng, place) if habit.choose == "turns" else None
 
     def learn(self, nodes: list[Instance], now: float = 0.0) -> None:
         """A new roster; what answers told of nodes that stay is kept."""
@@ -93,6 +96,8 @@
         self.weights = by_health({node.id: float(node.weight) for node in nodes}, ill)
         if self.chooser:
             self.chooser.learn(now, self.weights)
+        if self.rotation:
+            self.rotation.learn(self.weights)
         self.nodes = {node.id: node for node in sorted(nodes)}
         self.load = {name: load for name, load in self.load.items() if name in self.nodes}
         self.away = {name: until for name, until in self.away.items() if name in self.nodes}
@@ -131,6 +136,9 @@
             ]
         if not fit:
             return None
+        if self.rotation:
+            name = self.rotation.pick(left_out=self.nodes.keys() - {node.id for node in fit})
+            return self.nodes.get(name) if name else None
         if self.habit.choose == "weighted":
             weights = [self.weights[node.id] for node in fit]
             return self.random.choices(fit, weights if sum(weights) > 0.0 else None)[0]
