--- a/spindlerelay/lab/checks/permits.py
+++ b/spindlerelay/lab/checks/permits.py
@@ -14,14 +14,14 @@
 3. ledgers that stood are one history: by ballot, versions and numbers never go back, and none differs from
    another of its version.
 
-A ``Plant`` is a fault that the search has to find."""
+``PLANTS`` are faults that the search has to find."""
 
 from __future__ import annotations
 
 import sys
 import time
 from collections.abc import Iterator
-from functools import lru_cache, partial
+from functools import cache, partial
 from itertools import combinations
 from typing import Generic, NamedTuple, TypeVar
 
@@ -112,14 +112,15 @@
         self.names = "abcdefghi"[: story.voters + story.spare]
         self.founders = tuple(Voter(name, "0") for name in self.names[: story.voters])
         self.founded = Ledger(voters=self.founders)
+        self.budget = Budget(story.budget, story.budget)
         self.votes, self.proposers = Interned[Vote](), Interned[Proposer]()
         self.requests, self.replies = Interned[Request](), Interned[Reply]()
         self.stood = Interned[Stood]()
-        self.arrives = lru_cache(None)(self._arrives)
-        self.hears = lru_cache(None)(self._hears)
-        self.begins = lru_cache(None)(self._begins)
-        self.live = lru_cache(None)(self._live)
-        self.kept = lru_cache(None)(self._kept)
+        self.arrives = cache(self._arrives)
+        self.hears = cache(self._hears)
+        self.begins = cache(self._begins)
+        self.live = cache(self._live)
+        self.kept = cache(self._kept)
 
     def begin(self) -> State:
         first = self.votes(Vote(ledger=self.founded))
@@ -317,13 +318,11 @@
         plant, name = self.story.plant, f"p{place}"
         match self.story.steps[place][proposer.step]:
             case "grant" if plant == "number used again":
-                return partial(_used_again, name=name, budget=Budget(self.story.budget, self.story.budget))
+                return partial(_used_again, name=name, budget=self.budget)
             case "grant" if plant == "ended by time":
-                return partial(_ended_by_time, name=name, budget=Budget(self.story.budget, self.story.budget))
+                return partial(_ended_by_time, name=name, budget=self.budget)
             case "grant":
-                return partial(
-                    ledgers.grant, name=name, site="", budget=Budget(self.story.budget, self.story.budget)
-                )
+                return partial(ledgers.grant, name=name, site="", budget=self.budget)
             case "release":
                 return partial(ledgers.release, name=name, number=proposer.number)
             case "admit" if plant == "voters changed by two":
--- a/spindlerelay/lab/models/balancer.py
+++ b/spindlerelay/lab/models/balancer.py
@@ -9,7 +9,7 @@
 
 from spindlerelay.consul.api import Node as Instance
 from spindlerelay.routing.chooser import Chooser, Place, by_health
-from spindlerelay.routing.rotation import Rotation
+from spindlerelay.routing.rotation import Rotation, drawn
 
 
 class Habit(NamedTuple):
@@ -140,8 +140,7 @@
             name = self.rotation.pick(left_out=self.nodes.keys() - {node.id for node in fit})
             return self.nodes.get(name) if name else None
         if self.habit.choose == "weighted":
-            weights = [self.weights[node.id] for node in fit]
-            return self.random.choices(fit, weights if sum(weights) > 0.0 else None)[0]
+            return self.nodes[drawn(self.random, {node.id: self.weights[node.id] for node in fit})]
         if self.habit.choose == "least":
             # Ties go round, as with the balancers in use: by name, all of them would crowd the first nodes.
             self._turn += 1
--- a/spindlerelay/maintenance/record.py
+++ b/spindlerelay/maintenance/record.py
@@ -19,7 +19,7 @@
 
 from spindlerelay.maintenance.ledger import Ledger, Permit, Voter
 from spindlerelay.maintenance.voters import Ballot, Reply, Request, Vote, vote
-from spindlerelay.storage.disk import OS, Disk
+from spindlerelay.storage.disk import OS, Disk, write_all
 from spindlerelay.storage.records import UnusableError
 
 MOST_BYTES = 1 << 20  # of a record: 4,096 permits have a quarter of it
@@ -107,9 +107,7 @@
         place, disk = os.path.join(self.path, "vote"), self.disk
         fd = disk.create(place + ".tmp", False)
         try:
-            view = memoryview(encode(self.me, kept))
-            while view:
-                view = view[disk.write(fd, view) :]
+            write_all(disk, fd, encode(self.me, kept))
             disk.sync(fd, False)
         finally:
             disk.close(fd)
--- a/spindlerelay/membership/detector.py
+++ b/spindlerelay/membership/detector.py
@@ -224,8 +224,7 @@
                 self._listed(member)
                 if rumour.age_ms > OLD_MS:
                     self._order.append(member.name)  # probed next: the news of its death may have passed by
-                self._tell(member)
-                self._spread[member.name] = 0
+                self._tell(member, ahead=0)
             return
         if rumour.incarnation < member.incarnation:
             return
@@ -416,9 +415,9 @@
         place = self.random.randint(0, len(self._order))
         self._order.insert(place, member.name)
 
-    def _tell(self, member: Member) -> None:
-        """A belief has changed: tell it, here and to the others."""
-        self._spread[member.name] = -URGENT
+    def _tell(self, member: Member, ahead: int = URGENT) -> None:
+        """A belief has changed: tell it, here and to the others, so many times ahead of newcomers."""
+        self._spread[member.name] = -ahead
         silent = max(0.0, self._now - member.emitted)
         self.out.append(Changed(member.name, member.status, member.incarnation, silent))
 
--- a/spindlerelay/routing/rotation.py
+++ b/spindlerelay/routing/rotation.py
@@ -53,7 +53,10 @@
             self._turns[name] = self._reached + 1.0 / self.mine[name]
             return name
         rest = [name for name in self.weights if name not in tried and name not in left_out]
-        if not rest:
-            return None
-        weights = [self.weights[name] for name in rest]
-        return self.random.choices(rest, weights if sum(weights) > 0.0 else None)[0]
+        return drawn(self.random, {name: self.weights[name] for name in rest}) if rest else None
+
+
+def drawn(rng: random.Random, weights: Mapping[str, float]) -> str:
+    """One by weight; where none has any, all are alike."""
+    names, shares = list(weights), list(weights.values())
+    return rng.choices(names, shares if sum(shares) > 0.0 else None)[0]
--- a/spindlerelay/storage/disk.py
+++ b/spindlerelay/storage/disk.py
@@ -95,4 +95,11 @@
         os.close(fd)
 
 
+def write_all(disk: Disk, fd: int, data: bytes) -> None:
+    """In as many writes as the disk takes it in. OSError with a part of it written."""
+    view = memoryview(data)
+    while view:
+        view = view[disk.write(fd, view) :]
+
+
 OS = OsDisk()
--- a/spindlerelay/storage/folder.py
+++ b/spindlerelay/storage/folder.py
@@ -17,7 +17,7 @@
 from typing import Any, Literal, NamedTuple, TypeVar
 
 from spindlerelay.storage import records
-from spindlerelay.storage.disk import OS, Disk
+from spindlerelay.storage.disk import OS, Disk, write_all
 from spindlerelay.storage.records import UnusableError
 from spindlerelay.storage.state import Kept, State
 
@@ -101,7 +101,7 @@
         fd = self.disk.create(path, True)
         try:
             data = records.header(records.JOURNAL, self.name, generation, now)
-            self._write(fd, data)
+            write_all(self.disk, fd, data)
             if self.durability == "power":
                 self.disk.sync(fd, False)
                 self.disk.sync_folder(self.path)
@@ -121,7 +121,7 @@
         for kind, body in entries:
             data += records.record(kind, body, self.generation, self.size + len(data))
         try:
-            self._write(self.fd, data)
+            write_all(self.disk, self.fd, data)
             if sync and self.durability == "power":
                 self.disk.sync(self.fd, True)
         except OSError:
@@ -130,11 +130,6 @@
             raise
         self.size += len(data)
 
-    def _write(self, fd: int, data: bytes) -> None:
-        view = memoryview(data)
-        while view:
-            view = view[self.disk.write(fd, view) :]
-
     def compaction(self, bodies: Iterator[tuple[int, Any]], now: float) -> Iterator[None]:
         """The steps that replace all files by a new journal and a snapshot. Each takes about a millisecond;
         what is appended between them goes to the new journal. ``bodies`` is drawn a record a step, and may
@@ -147,11 +142,11 @@
         fd = self.disk.create(made + ".tmp", False)
         try:
             data = records.header(records.SNAPSHOT, self.name, generation, now)
-            self._write(fd, data)
+            write_all(self.disk, fd, data)
             size = len(data)
             for kind, body in bodies:
                 data = records.record(kind, body, generation, size)
-                self._write(fd, data)
+                write_all(self.disk, fd, data)
                 size += len(data)
                 if self.durability == "power":
                     self.disk.sync(fd, True)  # slice by slice, so that the last one does not wait for all
