Record the departure of a dead member instead of ending the detector's step

Callers saw: nothing directly; the node lost what else was in that step of its failure detector (updates, probes, acks), so its view of the group, and the weights made of it, lagged.

Cause: MemberTable.change_status took a name out of the active ones whenever the new status is inactive. A dead member that announces its departure goes from one inactive status to another, and the name is not there.

Fix: the name moves only where a member changes between active and inactive, which is what the list means; no case is added.

--- a/spindlerelay/membership/member_table.py
+++ b/spindlerelay/membership/member_table.py
@@ -102,20 +102,15 @@
         return [name for name in self.active_names if name != excluded and members[name].status is ALIVE]
 
     def change_status(self, member: Member, status: MemberStatus, since_ms: float) -> bool:
-        """Change a member's status and return whether it has become active by this.
-
-        Raises:
-            ValueError: a dead member has left. Only active members are expected to become inactive.
-        """
+        """Change a member's status and return whether it has become active by this."""
         was_active = member.active
         member.status = status
         member.status_since_ms = since_ms
-        if not member.active:
+        if was_active and not member.active:
             self.active_names.remove(member.name)
-            return False
-        if not was_active:
+        elif member.active and not was_active:
             self.active_names.append(member.name)
-        return not was_active
+        return member.active and not was_active
 
     def sweep(self, now_ms: float) -> list[str]:
         """Forget members that have been inactive for long, and return their names."""
