Forget an expired suspicion at once: a forgotten member ended every later step

Callers saw: nothing directly. The node's failure detector raised KeyError in every step from then on, so its view of the group froze until a restart.

Cause: SuspicionTimers kept the name of an expired suspicion until the next step.

Evidence: new state machine over FailureDetector and MemberTable (hypothesis, derandomized). On the code before: KeyError: 'n1' in take_expired after one datagram and one step. With the fix it passes. The table of idempotency keys under the same kind of test breaks nothing.

Fix: an expired suspicion leaves the timers when it is returned, so no name outlives its member there.

--- a/spindlerelay/membership/suspicion.py
+++ b/spindlerelay/membership/suspicion.py
@@ -42,13 +42,17 @@
             self._table.members[name].status_since_ms += duration_ms
 
     def take_expired(self, now_ms: float) -> list[Member]:
-        """Return the members to declare dead now."""
+        """End the suspicions that are over, and return the members to declare dead now.
+
+        A member that was told of late may be forgotten in this very step: nothing here may name it after that.
+        """
         expired = []
         for name in list(self._names):
             member = self._table.members[name]
             if member.status is not SUSPECT:
                 del self._names[name]
             elif now_ms - member.status_since_ms >= self._timeout_ms(member):
+                del self._names[name]
                 expired.append(member)
         return expired
 
--- /dev/null
+++ b/tests/test_event_orders.py
@@ -0,0 +1,191 @@
+"""Collections of the node under events in any order: twice, late, after the end, and what 'cannot come'.
+
+Each state machine keeps what must hold of one collection; hypothesis chooses the events. An exception that
+the event loop would catch fails the test, too.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+
+import pytest
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+
+from spindlerelay.membership.failure_detector import FailureDetector
+from spindlerelay.membership.member_table import INACTIVE
+from spindlerelay.membership.messages import GossipUpdate, MemberStatus, Message, MessageKind, NodeReport
+from spindlerelay.node.idempotency import IdempotencyTable
+
+MACHINE_SETTINGS = settings(
+    derandomize=True,
+    max_examples=60,
+    stateful_step_count=30,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
+NAMES = st.sampled_from(["n0", "n1", "n2", "n3"])  # n0 is the detector's own
+INCARNATIONS = st.integers(0, 4)
+STATUSES = st.sampled_from(list(MemberStatus))
+AGES_MS = st.sampled_from([0.0, 50.0, 900.0, 40_000.0, 700_000.0])
+SPANS_MS = st.sampled_from([0.0, 5.0, 100.0, 450.0, 3000.0, 20_000.0, 700_000.0])
+
+
+class MembershipOrders(RuleBasedStateMachine):
+    """A failure detector and its member table."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_ms = 0.0
+        self.detector = FailureDetector("n0", ("127.0.0.1", 7000), [("127.0.0.1", 7001)], random.Random(1), 2)
+
+    def update(self, name: str, status: MemberStatus, incarnation: int, age_ms: float) -> GossipUpdate:
+        report = NodeReport(0.5, 4.0, "passing") if status is MemberStatus.ALIVE else None
+        address = ("127.0.0.1", 7000 + int(name[1]))
+        return GossipUpdate(name, address, status, incarnation, age_ms, "n3", report)
+
+    @rule(
+        kind=st.sampled_from(list(MessageKind)),
+        sequence=st.integers(0, 12),
+        sender=NAMES,
+        sender_status=STATUSES,
+        incarnation=INCARNATIONS,
+        subject=NAMES,
+        updates=st.lists(st.tuples(NAMES, STATUSES, INCARNATIONS, AGES_MS), max_size=3),
+    )
+    def receive(
+        self,
+        kind: MessageKind,
+        sequence: int,
+        sender: str,
+        sender_status: MemberStatus,
+        incarnation: int,
+        subject: str,
+        updates: list[tuple[str, MemberStatus, int, float]],
+    ) -> None:
+        sender_update = self.update(sender, sender_status, incarnation, 0.0)
+        received = tuple(self.update(*each) for each in updates)
+        message = Message(kind, sequence, subject, sender_update, received)
+        self.detector.step(self.now_ms, [message])
+
+    @rule(span_ms=SPANS_MS)
+    def wait(self, span_ms: float) -> None:
+        self.now_ms += span_ms
+        self.detector.step(self.now_ms)
+
+    @rule()
+    def leave(self) -> None:
+        self.detector.leave(self.now_ms)
+
+    @invariant()
+    def active_names_are_those_of_active_members(self) -> None:
+        active = [name for name, member in self.detector.members.items() if member.status not in INACTIVE]
+        assert sorted(self.detector._table.active_names) == sorted(active)
+        assert [member.name for member in self.detector.active_members()] == self.detector._table.active_names
+
+    def teardown(self) -> None:
+        for _ in range(3):
+            self.now_ms += 100.0
+            self.detector.step(self.now_ms)
+
+
+class IdempotencyOrders(RuleBasedStateMachine):
+    """The idempotency table, with attempts of three keys."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.table = IdempotencyTable(memory_mb=33.0)
+        self.now_ms = 0.0
+        self.keys: dict[int, str] = {}
+        self.ran_until_ms: dict[str, float] = {}
+
+    attempts = st.integers(1, 12)
+
+    keys_drawn = st.sampled_from(["a", "b", "c"])
+
+    @rule(key=keys_drawn, age_ms=st.sampled_from([0.0, 400.0]), content=st.integers(1, 2))
+    def link(self, key: str, age_ms: float, content: int) -> None:
+        attempt = len(self.keys) + 1
+        self.keys[attempt] = key
+        received_at_ms = self.now_ms - age_ms
+        original = self.table.link(key, attempt, received_at_ms, self.now_ms, content)
+        if received_at_ms <= self.ran_until_ms.get(key, -math.inf):
+            assert original, "an attempt within the window of one that ran is a repeat"
+
+    @rule(attempt=attempts, ttl_ms=st.sampled_from([0.001, 300.0, 9000.0]))
+    def reserve(self, attempt: int, ttl_ms: float) -> None:
+        if attempt in self.keys:
+            self.table.reserve(attempt, self.keys[attempt], self.now_ms + ttl_ms)
+
+    @rule(attempt=attempts)
+    def run_if_allowed(self, attempt: int) -> None:
+        key = self.keys.get(attempt)
+        if key is None or not self.table.may_run(attempt, key):
+            return
+        assert self.now_ms > self.ran_until_ms.get(key, -math.inf), "a second run within the window"
+        self.table.record_run(attempt, self.now_ms + 1000.0)
+        self.ran_until_ms[key] = self.now_ms + 1000.0
+
+    @rule(attempt=attempts)
+    def revoke_run(self, attempt: int) -> None:
+        key = self.keys.get(attempt)
+        if key is not None and (record := self.table.find_run(key)) and record.run_id == attempt:
+            self.ran_until_ms.pop(key, None)
+        self.table.revoke_run(attempt)
+
+    @rule(attempt=attempts, result=st.sampled_from([None, b"r" * 100, b"r" * 700_000]))
+    def finish(self, attempt: int, result: bytes | None) -> None:
+        self.table.finish(attempt, result)
+
+    @rule(original=attempts, attempt=attempts)
+    def coalesce(self, original: int, attempt: int) -> None:
+        self.table.coalesce(original, attempt)
+
+    @rule(original=attempts, attempt=attempts)
+    def detach(self, original: int, attempt: int) -> None:
+        self.table.detach(original, attempt)
+
+    @rule(attempt=attempts)
+    def evict(self, attempt: int) -> None:
+        self.table.evict(attempt)
+
+    @rule()
+    def end_batch(self) -> None:
+        self.table.end_batch()
+
+    @rule(span_ms=st.sampled_from([1.0, 500.0, 3000.0, 20_000.0]))
+    def wait(self, span_ms: float) -> None:
+        self.table.end_batch()
+        self.now_ms += span_ms
+        self.table.expire(self.now_ms)
+
+    @invariant()
+    def indices_agree(self) -> None:
+        table = self.table
+        assert all(table._by_holder.get(record.holder_id) is record for record in table._records.values())
+        assert set(map(id, table._by_holder.values())) == set(map(id, table._records.values()))
+        cached = sum(len(record.result or b"") for record in table._records.values())
+        assert table.result_bytes == cached <= table.max_result_bytes
+
+    def teardown(self) -> None:
+        """Once all attempts have ended and their windows are over, nothing is left."""
+        self.table.end_batch()
+        for attempt in self.keys:
+            self.table.finish(attempt, None)
+        for _ in range(4):
+            self.now_ms += 60_000.0
+            self.table.expire(self.now_ms)
+        assert not len(self.table) and not self.table._by_holder and not self.table.result_bytes
+
+
+MACHINES = (
+    MembershipOrders,
+    IdempotencyOrders,
+)
+
+
+@pytest.mark.parametrize("machine", MACHINES, ids=lambda machine: machine.__name__)
+def test_events_in_any_order_leave_the_state_consistent(machine: type[RuleBasedStateMachine]) -> None:
+    run_state_machine_as_test(machine, settings=MACHINE_SETTINGS)
