Cancel a call before its removed dependency's connection is closed

Callers saw: Late at the end of their time in place of a result, where SIGHUP had taken a dependency out of the table and its last call in flight was given up as the run ended.

Cause: CallScheduler._abandon_call noted the end of the call first, which returns CloseConnection for a removed dependency, and CancelCall only after it. ConnectionPool raised KeyError, which broke off the end of the run.

Evidence: state machine over ConnectionPool with its scheduler. On the code before: KeyError: 2 for CancelCall(connection=2) after a request, a reload and a cancellation.

Fix: the cancellation is returned first.

--- a/spindlerelay/dependencies/call_scheduler.py
+++ b/spindlerelay/dependencies/call_scheduler.py
@@ -286,11 +286,11 @@
             return
         dependency = call.dependency
         if call_id in dependency.in_flight:
+            self._actions.append(CancelCall(dependency.number, call_id))  # ahead of a close of the connection
             self._remove_in_flight(call, dependency)
             dependency.breaker.note_abandoned(call.breaker_epoch)
             dependency.note_abandoned(self._now_ms, self._abandoned_call_ms)
             dependency.counts[CallCounter.ABANDONED] += 1
-            self._actions.append(CancelCall(dependency.number, call_id))
         elif call in dependency.queue:
             dependency.queue.remove(call)
 
--- a/tests/test_event_orders.py
+++ b/tests/test_event_orders.py
@@ -8,16 +8,27 @@
 
 import math
 import random
+from collections import Counter
+from typing import Any
 
 import pytest
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
+from spindlerelay import api
+from spindlerelay.backends.store_protocol import StoreReply
+from spindlerelay.dependencies import connection_pool
+from spindlerelay.dependencies.call_counters import OUTCOME_COUNTERS
+from spindlerelay.dependencies.call_scheduler import CallScheduler
+from spindlerelay.dependencies.routing_table import RoutingTable
 from spindlerelay.membership.failure_detector import FailureDetector
 from spindlerelay.membership.member_table import INACTIVE
 from spindlerelay.membership.messages import GossipUpdate, MemberStatus, Message, MessageKind, NodeReport
+from spindlerelay.node.frontend import IncomingRequest
 from spindlerelay.node.idempotency import IdempotencyTable
+from spindlerelay.transport.event_loop import EventLoop
+from tests import scheduler_driver
 
 MACHINE_SETTINGS = settings(
     derandomize=True,
@@ -180,9 +191,99 @@
         assert not len(self.table) and not self.table._by_holder and not self.table.result_bytes
 
 
+class FakeStoreClient:
+    """Stands for one dependency's connections; a call on a closed one is a fault."""
+
+    def __init__(self, loop: EventLoop, address: tuple[str, int], on_reply: Any) -> None:
+        self.on_reply = on_reply
+        self.closed = False
+
+    def call(self, call_id: str, timeout_ms: float, body: bytes) -> None:
+        assert not self.closed and timeout_ms > 0
+
+    def cancel(self, call_id: str) -> None:
+        assert not self.closed
+
+    def unavailable_ms(self) -> float:
+        return 0.0
+
+    def close(self) -> None:
+        assert not self.closed
+        self.closed = True
+
+
+TABLES = (
+    scheduler_driver.PLAIN,
+    RoutingTable((scheduler_driver.ARCHIVE,)),
+    RoutingTable(
+        (
+            scheduler_driver.ARCHIVE._replace(address=("127.0.0.1", 9)),
+            scheduler_driver.TARIFF._replace(fallbacks=("archive", "skip"), max_concurrency=1),
+        )
+    ),
+)
+
+
+class ConnectionPoolOrders(RuleBasedStateMachine):
+    """The connection pool with its scheduler: calls, replies, abandonments and new routing tables."""
+
+    calls = st.sampled_from([f"c{number}" for number in range(6)])
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_ms = 1000.0
+        self.results: Counter[str] = Counter()
+        self.requested: Counter[str] = Counter()
+        self.clients: list[FakeStoreClient] = []
+        self.patch = pytest.MonkeyPatch()
+        self.patch.setattr(connection_pool, "StoreClient", self.make_client)
+        loop = EventLoop(lambda: self.now_ms)
+        scheduler = CallScheduler(scheduler_driver.PLAIN, scheduler_driver.SETTINGS, 1)
+        self.pool = connection_pool.ConnectionPool(loop, scheduler, scheduler_driver.SETTINGS, self.on_reply)
+
+    def make_client(self, *args: Any) -> FakeStoreClient:
+        self.clients.append(FakeStoreClient(*args))
+        return self.clients[-1]
+
+    def on_reply(self, reply: StoreReply) -> None:
+        self.results[reply.call_id] += 1
+        assert self.results[reply.call_id] <= self.requested[reply.call_id], "a second result"
+
+    @rule(call=calls, cls=st.integers(0, 1), body=st.sampled_from([b"tariff 1", b"row"]))
+    def start_call(self, call: str, cls: int, body: bytes) -> None:
+        self.requested[call] += 1
+        request = IncomingRequest(call, cls, self.now_ms, self.now_ms + 4000.0, b"body")
+        self.pool.start_call(request, 900.0, body)
+
+    @rule(call=calls, run_ended=st.booleans())
+    def give_up(self, call: str, run_ended: bool) -> None:
+        (self.pool.run_ended if run_ended else self.pool.cancel)(call)
+
+    @rule(client=st.integers(0, 5), call=calls, outcome=st.sampled_from(list(OUTCOME_COUNTERS)))
+    def reply(self, client: int, call: str, outcome: api.Outcome) -> None:
+        self.clients[client % len(self.clients)].on_reply(StoreReply(call, outcome, b"row"))
+
+    @rule(table=st.sampled_from(TABLES))
+    def reload(self, table: RoutingTable) -> None:
+        self.pool.reload(table)
+
+    @rule(span_ms=st.sampled_from([1.0, 60.0, 500.0, 5000.0]))
+    def wait(self, span_ms: float) -> None:
+        self.now_ms += span_ms
+        self.pool._process()
+
+    @invariant()
+    def connections_are_those_of_known_dependencies(self) -> None:
+        assert set(self.pool._connections) == set(self.pool._scheduler._by_number)  # type: ignore[attr-defined]
+
+    def teardown(self) -> None:
+        self.patch.undo()
+
+
 MACHINES = (
     MembershipOrders,
     IdempotencyOrders,
+    ConnectionPoolOrders,
 )
 
 
