Count a maintenance lease for the site it was granted for

Nobody met it: the ledger is not wired to a node yet.

Cause: in grant, the site that is reported of an unavailable node replaced that of its lease, so a second lease of the lease's site fitted the site's budget.

Evidence: state machine over the ledger. On the code before: two leases of one site with a budget of one, after two grants.

Fix: the lease's site wins in the count.

--- a/spindlerelay/maintenance/lease_ledger.py
+++ b/spindlerelay/maintenance/lease_ledger.py
@@ -90,8 +90,9 @@
         return ledger
     if ledger.hold_reason:
         return Denied(DenialReason.HELD, f"held by an operator: {ledger.hold_reason}")
-    sites_by_node = {lease.node_name: lease.site for lease in ledger.leases}
-    sites_by_node |= {other: other_site for other, other_site in unavailable if other != name}
+    sites_by_node = {other: other_site for other, other_site in unavailable if other != name}
+    # A lease counts for the site that it was granted for, whatever is reported of its holder.
+    sites_by_node |= {lease.node_name: lease.site for lease in ledger.leases}
     if len(sites_by_node) >= budget.max_leases:
         explanation = f"{len(sites_by_node)} of {budget.max_leases} are out: {_listed(sites_by_node)}"
         return Denied(DenialReason.BUDGET, explanation)
--- a/tests/test_event_orders.py
+++ b/tests/test_event_orders.py
@@ -22,6 +22,8 @@
 from spindlerelay.dependencies.call_counters import OUTCOME_COUNTERS
 from spindlerelay.dependencies.call_scheduler import CallScheduler
 from spindlerelay.dependencies.routing_table import RoutingTable
+from spindlerelay.maintenance import lease_ledger
+from spindlerelay.maintenance.lease_ledger import Budget, Denied, LeaseLedger, Voter
 from spindlerelay.membership.failure_detector import FailureDetector
 from spindlerelay.membership.member_table import INACTIVE
 from spindlerelay.membership.messages import GossipUpdate, MemberStatus, Message, MessageKind, NodeReport
@@ -191,6 +193,53 @@
         assert not len(self.table) and not self.table._by_holder and not self.table.result_bytes
 
 
+class LeaseOrders(RuleBasedStateMachine):
+    """The lease ledger: budget, fencing tokens and voters."""
+
+    BUDGET = Budget(2, 1)
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.ledger = LeaseLedger(voters=(Voter("n1", "f1"),))
+
+    def take(self, changed: LeaseLedger | Denied) -> None:
+        if isinstance(changed, Denied):
+            assert changed.explanation and "\n" not in changed.explanation
+            return
+        assert changed == self.ledger or changed.version == self.ledger.version + 1
+        assert changed.last_lease_number >= self.ledger.last_lease_number
+        self.ledger = changed
+
+    sites = st.sampled_from(["", "nord", "sud"])
+
+    @rule(name=NAMES, site=sites, out=st.lists(st.tuples(NAMES, NAMES), max_size=2))
+    def grant(self, name: str, site: str, out: list[tuple[str, str]]) -> None:
+        self.take(lease_ledger.grant(self.ledger, name, site, self.BUDGET, out))
+
+    @rule(name=NAMES, number=st.integers(0, 6))
+    def release(self, name: str, number: int) -> None:
+        before = self.ledger.lease_of(name)
+        self.take(lease_ledger.release(self.ledger, name, number))
+        assert self.ledger.lease_of(name) == (None if before and before.number == number else before)
+
+    @rule(reason=st.sampled_from(["", "audit"]))
+    def hold(self, reason: str) -> None:
+        self.take(lease_ledger.set_hold(self.ledger, reason))
+
+    @rule(name=NAMES, folder=st.sampled_from(["f1", "f2"]), add=st.booleans())
+    def change_voter(self, name: str, folder: str, add: bool) -> None:
+        change = lease_ledger.add_voter if add else lease_ledger.remove_voter
+        self.take(change(self.ledger, Voter(name, folder)))
+
+    @invariant()
+    def budget_and_voters_hold(self) -> None:
+        leases = self.ledger.leases
+        assert len({lease.node_name for lease in leases}) == len(leases) <= self.BUDGET.max_leases
+        assert max(Counter(lease.site for lease in leases).values(), default=0) <= 1
+        assert all(lease.number <= self.ledger.last_lease_number for lease in leases)
+        assert len({voter.node_name for voter in self.ledger.voters}) == len(self.ledger.voters) >= 1
+
+
 class FakeStoreClient:
     """Stands for one dependency's connections; a call on a closed one is a fault."""
 
@@ -283,6 +332,7 @@
 MACHINES = (
     MembershipOrders,
     IdempotencyOrders,
+    LeaseOrders,
     ConnectionPoolOrders,
 )
 
