Hold a rejection until the catalogue shows the node as critical

Cause: the first rejection was that of a retry with no time left, which an idle node rejects, too; no threshold on the queue foresees it, and the health was looked at only every 25 to 50 ms, after the response had left.

Change: consul/rejection_gate.py. A rejection triggers the look and waits for the agent's confirmation, 0.1 s at most, not near its due time, and not while the agent fails. The order holds by construction, not by a threshold.

--- a/spindlerelay/consul/agent_client.py
+++ b/spindlerelay/consul/agent_client.py
@@ -17,7 +17,9 @@
 from spindlerelay.consul import registration_events as events
 from spindlerelay.consul.health_policy import FULL_WEIGHT, HealthPolicy, HealthState, HealthVerdict
 from spindlerelay.consul.registration import Registration, RegistrationState
+from spindlerelay.consul.rejection_gate import RejectionGate
 from spindlerelay.errors import SpindlerelayError
+from spindlerelay.node import protocols
 from spindlerelay.node.health import NodeStatus
 from spindlerelay.transport.event_loop import EventLoop
 from spindlerelay.transport.http_client import HttpClient, HttpFailure, HttpResponse
@@ -52,6 +54,10 @@
         """Accept no new work while ``on``."""
         ...
 
+    def set_rejection_gate(self, gate: protocols.RejectionGate) -> None:
+        """Have the gate decide when a rejection is sent."""
+        ...
+
 
 class TokenError(SpindlerelayError):
     """The token file cannot be used. The text names file and remedy, never the token."""
@@ -127,12 +133,25 @@
         self._step_timer: Timer | None = None
         self._last_verdict: HealthVerdict | None = None
         self._logged_state: HealthState | None = None
+        self._gate = RejectionGate(loop)
+        node.set_rejection_gate(self)
         self._check_health()
 
     def start_shutdown(self) -> None:
         """Deregister the service, ahead of the node's own drain."""
         self._step([events.ShutdownStarted()])
 
+    def hold(self, send: Callable[[], None], due_at_ms: float) -> bool:
+        """Hold a rejection until the agent has confirmed that the node is critical.
+
+        Returns False where it has, where the node's health does not ask for that, or where no confirmation
+        is to be expected.
+        """
+        if self.registration.shows_critical():
+            return False
+        self._look_at_health(self.node.status())
+        return self.registration.publishes_critical() and self._gate.hold(send, due_at_ms)
+
     def close(self) -> None:
         """Do nothing: the service was deregistered during the drain."""
 
@@ -154,6 +173,9 @@
         status = self.node.status()
         interval = HEALTH_CHECK_INTERVAL_MS if status.queue_utilization else 2 * HEALTH_CHECK_INTERVAL_MS
         self.loop.call_later(interval, self._check_health)
+        self._look_at_health(status)
+
+    def _look_at_health(self, status: NodeStatus) -> None:
         verdict = self.health_policy.step(self.loop.now(), status)
         if self.weight is not None:
             verdict = verdict._replace(full_weight=max(1, round(FULL_WEIGHT * self.weight())))
@@ -168,6 +190,8 @@
     def _step(self, received: list[events.Event]) -> None:
         for action in self.registration.step(self.loop.now(), received):
             self._execute(action)
+        if not self.registration.publishes_critical():
+            self._gate.release()
 
     def _execute(self, action: events.Action) -> None:
         match action:
@@ -186,7 +210,10 @@
                 logger.log(level.upper(), "{}", text)
 
     def _request_completed(self, request: events.AgentRequest, response: HttpResponse | HttpFailure) -> None:
-        self._step([api_codec.decode_response(request, response)])
+        completed = api_codec.decode_response(request, response)
+        if completed.result is events.Result.OK:
+            self._gate.confirmed()
+        self._step([completed])
 
     def _schedule_step(self, at_ms: float) -> None:
         if self._step_timer:
--- a/spindlerelay/consul/registration.py
+++ b/spindlerelay/consul/registration.py
@@ -59,6 +59,7 @@
 HEARTBEAT_FRACTION = 1 / 3  # of the check's TTL: two updates may get lost
 TIMEOUT_FRACTION = 0.25  # of the check's TTL
 TIMEOUT_MAX_MS = 2000.0
+CRITICAL = "critical"  # status of a check
 WEIGHT_UPDATE_INTERVAL_MS = 1000.0  # between registrations that change nothing but a weight
 
 
@@ -142,6 +143,16 @@
             self._actions.append(ScheduleStep(self._next_step_at(now)))
         return self._actions
 
+    def shows_critical(self) -> bool:
+        """Return whether the agent has confirmed that the check is critical."""
+        return bool(self._registered) and self._confirmed_check[0] == CRITICAL
+
+    def publishes_critical(self) -> bool:
+        """Return whether the agent, which answers, is about to learn that the check is critical."""
+        wanted = self.verdict is not None and self.verdict.status == CRITICAL
+        answers = bool(self._registered) and not self.failures and not self._conflict
+        return wanted and answers and not self._shutting_down and not self.shows_critical()
+
     # Events
 
     def _handle(self, now: float, event: Event) -> None:
@@ -311,7 +322,7 @@
 
         While critical, the passing weight alone counts: readers that find most of a list critical use it.
         """
-        if verdict.status == "critical":
+        if verdict.status == CRITICAL:
             return verdict.weights[0] != self._confirmed_weights[0]
         return verdict.weights != self._confirmed_weights
 
--- a/spindlerelay/membership/suspicion.py
+++ b/spindlerelay/membership/suspicion.py
@@ -44,7 +44,7 @@
     def take_expired(self, now_ms: float) -> list[Member]:
         """End the suspicions that are over, and return the members to declare dead now.
 
-        A member that was told of late may be forgotten in this very step: nothing here may name it after that.
+        A suspicion that was told of late ends at once, and its member may be forgotten in the same step.
         """
         expired = []
         for name in list(self._names):
--- a/spindlerelay/node/context.py
+++ b/spindlerelay/node/context.py
@@ -9,7 +9,7 @@
 from spindlerelay.node.duplicate_run_guard import DuplicateRunGuard
 from spindlerelay.node.frontend import FrontEnd
 from spindlerelay.node.metrics import NodeMetrics
-from spindlerelay.node.protocols import AdmissionPolicy
+from spindlerelay.node.protocols import AdmissionPolicy, RejectionGate
 from spindlerelay.node.request import RequestTable
 from spindlerelay.transport.event_loop import EventLoop
 
@@ -28,4 +28,5 @@
     front_ends: list[FrontEnd] = field(default_factory=list)
     pending_events: list[api.Event] = field(default_factory=list)  # for the next step; emptied in place
     started: bool = False  # the interpreter has been reached since the start
+    rejection_gate: RejectionGate | None = None
     rejected_count: int = 0  # since the start, without those rejected while draining
--- a/spindlerelay/node/node.py
+++ b/spindlerelay/node/node.py
@@ -24,7 +24,7 @@
 from spindlerelay.node.health import HealthMonitor, NodeStatus
 from spindlerelay.node.idempotency import IdempotencyTable
 from spindlerelay.node.metrics import NodeMetrics
-from spindlerelay.node.protocols import AdmissionPolicy, DependencyCalls, Persistence
+from spindlerelay.node.protocols import AdmissionPolicy, DependencyCalls, Persistence, RejectionGate
 from spindlerelay.node.request_intake import RequestIntake
 from spindlerelay.node.responder import Responder
 from spindlerelay.node.run_tracker import RunTracker
@@ -103,6 +103,10 @@
         """Claim keyed requests against other processes of this node before they run."""
         self.context.duplicates.claims = claims
 
+    def set_rejection_gate(self, gate: RejectionGate) -> None:
+        """Have the gate decide when a rejection is sent."""
+        self.context.rejection_gate = gate
+
     def observe_requests(self, observer: Callable[[IncomingRequest], None]) -> None:
         """Call the observer with every request read."""
         self.intake.observer = observer
--- a/spindlerelay/node/protocols.py
+++ b/spindlerelay/node/protocols.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
 from spindlerelay import api
@@ -51,6 +52,14 @@
         ...
 
 
+class RejectionGate(Protocol):
+    """Keeps rejections back until it is published that this node has no capacity."""
+
+    def hold(self, send: Callable[[], None], due_at_ms: float) -> bool:
+        """Return whether ``send`` will be called later, ahead of ``due_at_ms``; at False send at once."""
+        ...
+
+
 class Persistence(Protocol):
     """Stores on disk which keyed requests ran, and their results, for later processes of this node."""
 
--- a/spindlerelay/node/responder.py
+++ b/spindlerelay/node/responder.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 from spindlerelay import api
 from spindlerelay.node.context import NodeContext
 from spindlerelay.node.frontend import Failure, FinalResponse, FrontEnd, IncomingRequest, Rejection, Success
@@ -28,6 +30,10 @@
             kind = ResponseKind.FAILED
         context = self._context
         context.metrics.count_response(context.settings.classes[request.class_index].name, kind)
+        if context.rejection_gate is not None and kind is ResponseKind.REJECTED:
+            send = partial(front_end.respond, request, response)
+            if context.rejection_gate.hold(send, request.due_at_ms):
+                return
         front_end.respond(request, response)
 
     def respond(self, request: RequestContext, response: FinalResponse) -> None:
--- a/spindlerelay/testbed/cluster/node_host.py
+++ b/spindlerelay/testbed/cluster/node_host.py
@@ -44,6 +44,7 @@
         self.terminated_at = 0.0  # SIGTERM
         self.last_answer_at = 0.0
         self.first_rejection_at = 0.0
+        self.rejections_at: list[float] = []  # when each rejection was read
         self.exited_at = 0.0
         self.exit_status: int | None = None
         self.answer_count = 0
--- a/spindlerelay/testbed/cluster/node_pool.py
+++ b/spindlerelay/testbed/cluster/node_pool.py
@@ -187,8 +187,9 @@
         self._on_end(attempt, answer, partial_result)
 
     def _count_failure(self, now: float, host: NodeHost, answer: Response) -> None:
-        if answer.kind == "refused" and not host.incarnations[-1].first_rejection_at:
-            host.incarnations[-1].first_rejection_at = now
+        if answer.kind == "refused":
+            host.incarnations[-1].first_rejection_at = host.incarnations[-1].first_rejection_at or now
+            host.incarnations[-1].rejections_at.append(now)
         self.failures[failure_reason(answer)] += 1
         if answer.kind == "refused" and self.started_at:
             self.rejections[host.name, int((now - self.started_at) / 1000.0)] += 1
--- a/tests/agents.py
+++ b/tests/agents.py
@@ -10,6 +10,7 @@
 from spindlerelay.api import ClassSettings, Settings
 from spindlerelay.consul.agent_client import AgentClient, Options
 from spindlerelay.node.health import NodeStatus
+from spindlerelay.node.protocols import RejectionGate
 from spindlerelay.testbed.models.catalogue import ConsulCatalogue
 from spindlerelay.testbed.servers.catalogue import AgentServer
 from spindlerelay.transport.event_loop import EventLoop
@@ -32,6 +33,9 @@
     def set_maintenance(self, on: bool) -> None:
         self.maintained.append(on)
 
+    def set_rejection_gate(self, gate: RejectionGate) -> None:
+        pass
+
 
 class Site:
     """An agent on loopback and nodes' links to it, all on one loop."""
