--- a/spindlerelay/testbed/drills/consul.py
+++ b/spindlerelay/testbed/drills/consul.py
@@ -152,14 +152,16 @@
     ]
 
 
+def _status_at(cluster: Cluster, name: str, life: Incarnation, time_ms: float) -> str:
+    """Return the status of an incarnation's entry at a time, ``absent`` where it has none."""
+    statuses = reversed(_statuses(cluster, name, life))
+    return next((status for at_ms, status in statuses if at_ms <= time_ms), "absent")
+
+
 def _first_listed_rejection(cluster: Cluster, name: str, life: Incarnation) -> float | None:
     """Return when the first rejection was read that was sent while the catalogue had an entry of the node."""
-    statuses = _statuses(cluster, name, life)
-    for rejected_at in life.rejections_at:
-        latest = next((status for at_ms, status in reversed(statuses) if at_ms <= rejected_at), "absent")
-        if latest != "absent":
-            return rejected_at
-    return None
+    listed = (at_ms for at_ms in life.rejections_at if _status_at(cluster, name, life, at_ms) != "absent")
+    return next(listed, None)
 
 
 def _critical_before(cluster: Cluster, name: str, life: Incarnation, rejected_at: float) -> bool:
@@ -174,10 +176,13 @@
 def _removed_ahead_ms(cluster: Cluster, name: str, life: Incarnation) -> float | None:
     """Return by how much the removal came ahead of the last response, None if none came after SIGTERM.
 
-    Responses that cross the signal were on their way when it was sent and do not count.
+    Responses that cross the signal were on their way when it was sent and do not count. An entry that the agent
+    had lost by SIGTERM counts as removed then.
     """
     if life.last_answer_at < life.terminated_at + CROSSING_MS:
         return None
+    if _status_at(cluster, name, life, life.terminated_at) == "absent":
+        return life.last_answer_at - life.terminated_at
     removals_ms = (
         at_ms
         for at_ms, service_id, status in cluster.catalogue.history
