Keep status 0 for a SIGTERM that comes while the interpreter ends

Callers saw: a platform that takes a status other than 0 for a crash counted one for a process that had answered everything, where SIGTERM came again within the last some 10 ms.

Cause: the interpreter restores the default handlers before it tears its modules down; a signal then ends it.

Fix: the service blocks the signals as it ends, as __main__ does before there is a handler.

--- a/spindlerelay/process/service.py
+++ b/spindlerelay/process/service.py
@@ -24,7 +24,7 @@
 from spindlerelay.node.backend_links import BackendAddresses
 from spindlerelay.node.node import Node
 from spindlerelay.node.protocols import AdmissionPolicy
-from spindlerelay.process.signals import SignalDispatcher
+from spindlerelay.process.signals import SignalDispatcher, block_signals
 from spindlerelay.storage.idempotency_claims import IdempotencyClaims
 from spindlerelay.transport.event_loop import EventLoop
 from spindlerelay.transport.system import HOST_SYSTEM, System
@@ -216,3 +216,4 @@
             self.management.close()
         for feature in self.features:
             feature.close()
+        block_signals()  # the interpreter's end restores the default handlers: a further SIGTERM would kill
--- a/tests/test_process_signals.py
+++ b/tests/test_process_signals.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import sys
+import time
 from pathlib import Path
 
 import pytest
@@ -15,6 +16,8 @@
 from tests.peers import TIMEOUT_S, Program
 from tests.peers import Interpreter as InterpreterPeer
 
+SIGNAL_INTERVAL_S = 0.0005  # a fraction of what the interpreter takes to end
+
 
 @pytest.mark.parametrize("file", ["good", "wrong", "quiet"])
 def test_sighup_and_sigterm_in_one_instant_are_both_heard_and_what_is_open_is_answered(
@@ -101,3 +104,13 @@
         for number, handler in before.items():
             signal.signal(number, handler)
     assert heard == [other]
+
+
+def test_further_notices_to_stop_up_to_the_end_do_not_change_the_status(tmp_path: Path) -> None:
+    """The interpreter restores the default handlers as it ends: a second SIGTERM then killed the process."""
+    with Program(tmp_path, stop_ms=600) as node:
+        node.interpreter.expect("CONNECT", "0")
+        while node.process.poll() is None:
+            node.terminate()
+            time.sleep(SIGNAL_INTERVAL_S)
+        assert node.process.returncode == 0
