Count internal errors by place, and fail drills and process tests on one

Need: the handlers of last resort hide faults; what cost one step or peer was a line in a log that nobody read.

A cluster's run, its shards, the drills handover and restarts, and each test with a node's process fail where a node's log shows an internal error or a traceback.

--- a/spindlerelay/node/action_executor.py
+++ b/spindlerelay/node/action_executor.py
@@ -19,6 +19,7 @@
 from spindlerelay.node.health import HealthMonitor
 from spindlerelay.node.request import RequestContext, RequestState
 from spindlerelay.node.responder import Responder
+from spindlerelay.transport.internal_errors import ErrorPlace
 from spindlerelay.transport.timer_wheel import TICK_MS
 
 # By the protocol every time limit is longer by this on sockets, the idempotency window too.
@@ -67,6 +68,7 @@
             try:
                 handlers[type(action)](action)
             except Exception as error:
+                self._context.loop.internal_errors.record(ErrorPlace.ACTION)
                 logger.opt(exception=True).error("an action failed: {!r}: {!r}", action, error)
 
     def _run(self, action: api.Run) -> None:
--- a/spindlerelay/node/metrics.py
+++ b/spindlerelay/node/metrics.py
@@ -7,9 +7,12 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import IntEnum
 
+from spindlerelay.transport.internal_errors import ErrorPlace
+
 RESERVED = re.compile(r"[\s:|@#]")  # in a StatsD name
 
 
@@ -21,6 +24,7 @@
     FAILED = 2
 
 
+INTERNAL_ERRORS_NAME = "spindlerelay_internal_errors_total"
 PUBLISHED_NAMES = ("succeeded", "declined", "aborted")  # of the kinds, in their order
 
 
@@ -40,8 +44,12 @@
             counts = self.results[class_name] = [0] * len(PUBLISHED_NAMES)
         counts[kind] += 1
 
-    def lines(self, outstanding: int) -> bytes:
-        """Return all lines; ``outstanding`` is the number of requests without a response."""
+    def lines(self, outstanding: int, internal_errors: Mapping[ErrorPlace, int] | None = None) -> bytes:
+        """Return all lines.
+
+        ``outstanding`` is the number of requests without a response. ``internal_errors`` are counts by place;
+        a place without an error has no line.
+        """
         rendered = [
             f"lb.results.{RESERVED.sub('_', class_name)}.{name}:{count}|c"
             for class_name, counts in self.results.items()
@@ -53,4 +61,7 @@
             f"lb.sighup_rejected:{self.sighup_rejected}|c",
             f"lb.outstanding:{outstanding}|g",
         ]
+        rendered += [
+            f"{INTERNAL_ERRORS_NAME}.{place}:{count}|c" for place, count in (internal_errors or {}).items()
+        ]
         return ("\n".join(rendered) + "\n").encode()
--- a/spindlerelay/node/node.py
+++ b/spindlerelay/node/node.py
@@ -30,6 +30,7 @@
 from spindlerelay.node.run_tracker import RunTracker
 from spindlerelay.storage.idempotency_claims import IdempotencyClaims
 from spindlerelay.transport.event_loop import EventLoop
+from spindlerelay.transport.internal_errors import ErrorPlace
 
 WATCHDOG_INTERVAL_MS = 250.0  # a controller without a timer gets a step all the same
 EXPIRY_INTERVAL_MS = 1000.0  # between looks at the idempotency table
@@ -177,6 +178,7 @@
         try:
             actions = context.admission.step(now_ms, events)
         except Exception as error:  # a fault in one decision must not cost the other requests their responses
+            context.loop.internal_errors.record(ErrorPlace.CONTROLLER)
             logger.opt(exception=True).error("the admission controller failed: {!r}", error)
         self._executor.execute(actions)
         duplicates = context.duplicates
--- a/spindlerelay/process/service.py
+++ b/spindlerelay/process/service.py
@@ -156,7 +156,7 @@
         return self._override_settings(settings) if self._override_settings else settings
 
     def _render_counters(self) -> bytes:
-        return self.node.metrics.lines(self.node.outstanding())
+        return self.node.metrics.lines(self.node.outstanding(), self.loop.internal_errors.counts)
 
     def shut_down(self) -> None:
         """Carry out SIGTERM: the features hear of it before the drain begins."""
--- a/spindlerelay/process/signals.py
+++ b/spindlerelay/process/signals.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 from spindlerelay.transport.event_loop import EventLoop
+from spindlerelay.transport.internal_errors import ErrorPlace
 
 BLOCKED_UNTIL_HANDLED = {signal.SIGHUP, signal.SIGTERM, signal.SIGINT}
 READ_BYTES = 64  # signal numbers in one read
@@ -46,7 +47,7 @@
         for number in sorted(set(self._reader.recv(READ_BYTES))):
             # Signals without a handler here arrive, too. A fault at SIGHUP must not cost a SIGTERM beside it.
             if handler := self._handlers.get(number):
-                self._loop.call_guarded(handler)
+                self._loop.call_guarded(handler, ErrorPlace.SIGNAL)
 
     def on_handler_error(self) -> None:
         """Do nothing: the descriptor is the process's own, and stays open to its end."""
--- a/spindlerelay/testbed/cluster/cluster.py
+++ b/spindlerelay/testbed/cluster/cluster.py
@@ -18,6 +18,7 @@
 from spindlerelay.testbed.cluster.endpoint_list import DEFAULT_WEIGHT, AnnounceReceiver
 from spindlerelay.testbed.cluster.errors import ClusterError
 from spindlerelay.testbed.cluster.node_configuration import PeerAddresses
+from spindlerelay.testbed.cluster.node_log import internal_errors
 from spindlerelay.testbed.cluster.node_pool import NodePool
 from spindlerelay.testbed.cluster.run_context import RunContext
 from spindlerelay.testbed.cluster.spec import LOOPBACK, SERVICE, START_TIMEOUT_MS, TICK_MS, ClusterSpec
@@ -126,7 +127,7 @@
         """Start the nodes, play the stream, and wait for the last answer.
 
         Raises:
-            ClusterError: where the nodes do not come up, or a tick fails.
+            ClusterError: where the nodes do not come up, a tick fails, or a node logs an internal error.
         """
         try:
             for host in self.hosts.values():
@@ -137,11 +138,18 @@
             self.loop.call_later(START_TIMEOUT_MS, self._check_started)
             self.loop.call_later(0.0, self._tick)
             self._workspace.drive(self.loop)
+            self._check_logs()
         finally:
             self.close()
         if self._failure:  # not from within the loop, which survives whatever its timers raise
             raise ClusterError(self._failure)
 
+    def _check_logs(self) -> None:
+        """Fail the run where a node has logged an internal error, which it survives by design."""
+        for host in self.hosts.values():
+            if errors := internal_errors(host.log):
+                self._failure = self._failure or f"{host.name} logged an internal error: {errors[0]}"
+
     def _watch_catalogue(self, balancer: Balancer) -> Watcher:
         assert self.agent
         return Watcher(
--- a/spindlerelay/testbed/cluster/shard.py
+++ b/spindlerelay/testbed/cluster/shard.py
@@ -22,6 +22,7 @@
 from spindlerelay.testbed.cluster.attempts import Attempt
 from spindlerelay.testbed.cluster.balancers import BalancerPool
 from spindlerelay.testbed.cluster.node_configuration import PeerAddresses
+from spindlerelay.testbed.cluster.node_log import internal_errors
 from spindlerelay.testbed.cluster.node_pool import NodePool
 from spindlerelay.testbed.cluster.record import MAX_VIOLATIONS, ShardResult
 from spindlerelay.testbed.cluster.run_context import RunContext
@@ -203,6 +204,9 @@
         pool, balancers = self._nodes, self._balancers
         attempts = (balancers.attempt_times, balancers.attempt_balancers, balancers.attempt_nodes)
         pool.checker.run_finished(self._loop.now())
+        for name, host in pool.hosts.items():
+            for line in internal_errors(host.log):
+                pool.checker.record_violation("internal_error", name, line)
         beliefs, believed = self._beliefs()
         return {
             "rows": bytes(balancers.rows),
--- a/spindlerelay/testbed/drills/handover.py
+++ b/spindlerelay/testbed/drills/handover.py
@@ -26,6 +26,7 @@
 from pathlib import Path
 from typing import Any
 
+from spindlerelay.testbed.cluster.node_log import internal_errors
 from spindlerelay.testbed.models.machine import MachineSpec
 from spindlerelay.testbed.models.traffic import CLASSES, node_settings
 from spindlerelay.testbed.servers.counting_interpreter import (
@@ -153,6 +154,7 @@
         "sent": before.last_number + after.last_number,
         "unanswered": before.last_number - len(before.responses) + after.last_number - len(after.responses),
         **_runs_of_orders(interpreters, after, retries),
+        "internal errors": sum(len(internal_errors(folder / f"{name}.log")) for name in ("old", "new")),
         "slowest ready s": round(max(response_times_s), 3),
     }
 
@@ -196,6 +198,8 @@
         of_run = {key.removesuffix(suffix): value for key, value in figures.items() if key.endswith(suffix)}
         if of_run["old status"] != 0 or of_run["new status"] != 0 or of_run["old left s"] >= KILL_S:
             claims.append(f"run {number}: both processes end with status 0, the old one before its kill")
+        if of_run["internal errors"]:
+            claims.append(f"run {number}: no process logs an internal error")
         if of_run["unanswered"]:
             claims.append(f"run {number}: every request sent gets one answer")
         if of_run["orders run twice"] or of_run["busy after a run"]:
--- a/spindlerelay/testbed/drills/processes.py
+++ b/spindlerelay/testbed/drills/processes.py
@@ -252,7 +252,12 @@
 
 def rule_violations(results: list[dict[str, Any]]) -> dict[str, Any]:
     """Return how often each rule was broken."""
-    names = (("lost", "lost"), ("ran_twice", "duplicate"), ("fell_over", "fall_over"))
+    names = (
+        ("lost", "lost"),
+        ("ran_twice", "duplicate"),
+        ("fell_over", "fall_over"),
+        ("internal_errors", "internal_error"),
+    )
     return {key: sum(each["rules"].get(rule, 0) for each in results) for key, rule in names}
 
 
@@ -268,8 +273,9 @@
 
 def failed_rules(figures: dict[str, Any]) -> list[str]:
     """Return the claim that every drill of many processes makes, if it does not hold."""
-    if any(figures[key] for key in ("lost", "ran_twice", "fell_over", "void")):
-        return [f"no request is lost or runs twice, no node falls, no run is void: {figures['told']}"]
+    if any(figures[key] for key in ("lost", "ran_twice", "fell_over", "internal_errors", "void")):
+        claim = "no request is lost or runs twice, no node falls or logs an internal error, no run is void"
+        return [f"{claim}: {figures['told']}"]
     return []
 
 
--- a/spindlerelay/testbed/drills/restarts.py
+++ b/spindlerelay/testbed/drills/restarts.py
@@ -27,6 +27,7 @@
 
 from spindlerelay.storage import journal_directory, records
 from spindlerelay.storage.journal_directory import JournalDirectory
+from spindlerelay.testbed.cluster.node_log import internal_errors
 from spindlerelay.testbed.cluster.workspace import free_port
 from spindlerelay.testbed.models.machine import MachineSpec
 from spindlerelay.testbed.models.traffic import CLASSES, node_settings
@@ -303,6 +304,7 @@
         "refused_after_run": orders.rejected_after_run,
         "outcome_unknown": orders.outcome_unknown,
         "unanswered": len(orders.unanswered),
+        "internal_errors": len(internal_errors(folder / "log")),
         "recovery": recovery_ms,
     }
 
@@ -326,5 +328,6 @@
         "lost_keys": "no key is lost that a writer had told of",
         "ran_twice": "no order runs twice",
         "refused_after_run": "no order is answered 'Busy' after it ran",
+        "internal_errors": "no node logs an internal error",
     }
-    return [f"{claim}: {figures[key]}" for key, claim in claims.items() if figures[key]]
+    return [f"{claim}: {figures[key]}" for key, claim in claims.items() if figures.get(key)]
--- a/spindlerelay/transport/event_loop.py
+++ b/spindlerelay/transport/event_loop.py
@@ -15,6 +15,7 @@
 
 from loguru import logger
 
+from spindlerelay.transport.internal_errors import ErrorPlace, InternalErrors
 from spindlerelay.transport.rate_limited_warnings import RateLimitedWarnings
 from spindlerelay.transport.system import HOST_SYSTEM, Socket, System
 from spindlerelay.transport.timer_wheel import TICK_MS, Timer, TimerWheel
@@ -66,6 +67,7 @@
         self.now = now or system.unix_time_ms
         self.timers = TimerWheel(tick_ms)
         self.warnings = RateLimitedWarnings(system.unix_time_ms)
+        self.internal_errors = InternalErrors()
         self.running = True
         self._selector = system.selector()
         self._unsent: dict[Flushable, None] = {}
@@ -107,21 +109,22 @@
             ready = self._selector.select(0.0)
         for key, mask in ready:
             handler: EventHandler = key.data
-            if not self.call_guarded(partial(handler.on_ready, mask)):
-                self.call_guarded(handler.on_handler_error)
+            if not self.call_guarded(partial(handler.on_ready, mask), ErrorPlace.SOCKET):
+                self.call_guarded(handler.on_handler_error, ErrorPlace.SOCKET)
         for timer in self.timers.pop_due(self.now()):
-            self.call_guarded(timer.action)
-        self.call_guarded(process_events)
+            self.call_guarded(timer.action, ErrorPlace.TIMER)
+        self.call_guarded(process_events, ErrorPlace.TURN)
         self.flush()
 
-    def call_guarded(self, action: Callable[[], None]) -> bool:
-        """Call ``action``, log any exception of it, and return whether there was none.
+    def call_guarded(self, action: Callable[[], None], place: ErrorPlace) -> bool:
+        """Call ``action``, log and count any exception of it, and return whether there was none.
 
         Neither a peer's input nor a timer may end the process.
         """
         try:
             action()
         except Exception as error:
+            self.internal_errors.record(place)
             logger.opt(exception=True).error("a fault in the program: {!r}", error)
             return False
         return True
@@ -132,5 +135,5 @@
             batch = self._unsent
             self._unsent = {}
             for output in batch:
-                if not self.call_guarded(output.flush):
-                    self.call_guarded(output.on_handler_error)
+                if not self.call_guarded(output.flush, ErrorPlace.OUTPUT):
+                    self.call_guarded(output.on_handler_error, ErrorPlace.OUTPUT)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -18,6 +18,7 @@
 
 import msgpack
 
+from spindlerelay.testbed.cluster.node_log import internal_errors
 from spindlerelay.testbed.cluster.workspace import free_port
 
 TIMEOUT_S = 20.0  # s: how long a peer waits for what must come; no test depends on how fast it comes
@@ -304,6 +305,7 @@
         self.interpreter.close()
         self.store.close()
         self.discovery.close()
+        assert kind or not internal_errors(self.log), internal_errors(self.log)
 
     def balancer(self) -> Balancer:
         return Balancer(self.address)
--- a/tests/test_event_orders.py
+++ b/tests/test_event_orders.py
@@ -17,6 +17,13 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
 from spindlerelay import api
+from spindlerelay.admission.controller import AdmissionController
+from spindlerelay.backends.interpreter_protocol import (
+    CallRequested,
+    CommandRejected,
+    InterpreterStarted,
+    RunFinished,
+)
 from spindlerelay.backends.store_protocol import StoreReply
 from spindlerelay.dependencies import connection_pool
 from spindlerelay.dependencies.call_counters import OUTCOME_COUNTERS
@@ -27,10 +34,12 @@
 from spindlerelay.membership.failure_detector import FailureDetector
 from spindlerelay.membership.member_table import INACTIVE
 from spindlerelay.membership.messages import GossipUpdate, MemberStatus, Message, MessageKind, NodeReport
-from spindlerelay.node.frontend import IncomingRequest
+from spindlerelay.node.frontend import FinalResponse, IncomingRequest
 from spindlerelay.node.idempotency import IdempotencyTable
+from spindlerelay.node.node import Node
 from spindlerelay.transport.event_loop import EventLoop
-from tests import scheduler_driver
+from tests import driver, scheduler_driver
+from tests.test_guards import RecordingBackend
 
 MACHINE_SETTINGS = settings(
     derandomize=True,
@@ -329,14 +338,149 @@
         self.patch.undo()
 
 
+NODE_SETTINGS = driver.settings(
+    driver.PLAIN._replace(name="page", calls_dependency=True, deadline_ms=1500.0, latency_objective_ms=700.0),
+    driver.KEYED._replace(name="order", idempotency_window_ms=3000.0, deadline_ms=2000.0),
+    driver.UNSAFE._replace(name="seal", deadline_ms=1000.0),
+    drain_grace_ms=800.0,
+    cache_ttl_ms=300.0,
+    dependency_topology=api.DependencyTopology.SHARED,
+    dependency_call_budget=4.0,
+)
+
+
+class NodeOrders(RuleBasedStateMachine):
+    """The request table with the admission controller: the node between a front end and recorded backends."""
+
+    calls = st.sampled_from([f"{number:016x}" for number in range(8)])
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_ms = 1_000_000.0
+        self.loop = EventLoop(lambda: self.now_ms)
+        self.responses: Counter[int] = Counter()
+        self.admitted: list[IncomingRequest] = []
+        self.notices = 0
+        self.node = Node(self.loop, NODE_SETTINGS, AdmissionController(NODE_SETTINGS, 1))
+        backends = self.node.context.backends
+        backends.interpreter = backends.store = backends.discovery = RecordingBackend()  # type: ignore[assignment]
+        self.node.on_interpreter_up(InterpreterStarted("running", 0.0))
+        self.loop.call_later(0.0, self.node._watchdog)
+        self.loop.call_later(0.0, self.node._expire)
+
+    def respond(self, request: IncomingRequest, response: FinalResponse) -> None:
+        self.responses[id(request)] += 1
+        assert self.responses[id(request)] == 1, "a second response"
+
+    def is_reachable(self, request: IncomingRequest) -> bool:
+        return self.admitted.index(request) % 2 == 0
+
+    def release(self, request: IncomingRequest) -> None:
+        self.responses[id(request)] += 1  # owed on another connection from now on
+
+    def set_idle_timeout(self, timeout_ms: float) -> None:
+        pass
+
+    def start_draining(self) -> None:
+        pass
+
+    def is_quiet(self) -> bool:
+        return False
+
+    def stop_accepting(self) -> None:
+        pass
+
+    def close_connections(self, skip_last_read: bool = False) -> None:
+        pass
+
+    def is_closed(self) -> bool:
+        return True
+
+    ages_ms = st.sampled_from([0.0, 300.0, 2500.0])
+
+    @rule(call=calls, cls=st.integers(0, 2), key=st.integers(0, 1), age_ms=ages_ms)
+    def admit(self, call: str, cls: int, key: int, age_ms: float) -> None:
+        received_at_ms = self.now_ms - age_ms
+        request = IncomingRequest(
+            call,
+            cls,
+            received_at_ms,
+            received_at_ms + 1800.0,
+            b"body",
+            queued_memory_kb=10.0,
+            idempotency_key=f"{key:032x}" if cls == 1 else "",
+            resource_key=key if cls == 0 else 0,
+        )
+        self.admitted.append(request)
+        self.node.admit(self, request)
+
+    @rule(call=calls, end=st.sampled_from(["fine", "fault", "broken_off", "late"]))
+    def run_finished(self, call: str, end: str) -> None:
+        self.notices += 1
+        self.node.on_interpreter_notice(RunFinished(self.notices, call, end, 5.0, b"result"))
+
+    @rule(call=calls)
+    def call_requested(self, call: str) -> None:
+        self.notices += 1
+        self.node.on_interpreter_notice(CallRequested(self.notices, call, b"row"))
+
+    @rule(call=calls, command=st.sampled_from(["APPLY", "RESOLVE", "STUB", "BREAK"]))
+    def command_rejected(self, call: str, command: str) -> None:
+        self.node.on_interpreter_notice(CommandRejected(command, call))
+
+    @rule(call=calls, outcome=st.sampled_from(list(api.Outcome)))
+    def store_replied(self, call: str, outcome: api.Outcome) -> None:
+        self.node.runs.on_reply(StoreReply(call, outcome, b"row"))
+
+    @rule(which=st.integers(0, 40), withdrawn=st.booleans())
+    def caller_disconnected(self, which: int, withdrawn: bool) -> None:
+        if self.admitted:
+            request = self.admitted[which % len(self.admitted)]
+            self.node.caller_disconnected(request, withdrawn)
+
+    @rule()
+    def drain(self) -> None:
+        self.node.drain(2500.0)
+
+    @rule(span_ms=st.sampled_from([0.0, 5.0, 60.0, 400.0, 2500.0]))
+    def wait(self, span_ms: float) -> None:
+        self.now_ms += span_ms
+        self.turn()
+
+    def turn(self) -> None:
+        for timer in self.loop.timers.pop_due(self.now_ms):
+            timer.action()
+        self.node.process_events()
+
+    @invariant()
+    def nothing_was_caught(self) -> None:
+        assert not self.loop.internal_errors.counts
+
+    @invariant()
+    def tables_agree(self) -> None:
+        requests = self.node.context.requests
+        assert all(requests.by_call_id.get(each.incoming.call_id) is each for each in requests.by_id.values())
+        assert len(requests.by_id) == len(requests.by_call_id)
+
+    def teardown(self) -> None:
+        """Past every due time each request has its one response."""
+        for _ in range(60):
+            self.now_ms += 50.0
+            self.turn()
+        self.nothing_was_caught()
+        assert not self.node.outstanding()
+        assert all(self.responses[id(request)] == 1 for request in self.admitted)
+
+
 MACHINES = (
     MembershipOrders,
     IdempotencyOrders,
     LeaseOrders,
     ConnectionPoolOrders,
+    NodeOrders,
 )
 
 
 @pytest.mark.parametrize("machine", MACHINES, ids=lambda machine: machine.__name__)
 def test_events_in_any_order_leave_the_state_consistent(machine: type[RuleBasedStateMachine]) -> None:
-    run_state_machine_as_test(machine, settings=MACHINE_SETTINGS)
+    run_state_machine_as_test(machine, settings=MACHINE_SETTINGS)  # type: ignore[no-untyped-call]
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -11,7 +11,9 @@
 from spindlerelay.frontends.management_server import ManagementServer
 from spindlerelay.node.metrics import NodeMetrics
 from spindlerelay.storage.idempotency_claims import IdempotencyClaims
+from spindlerelay.testbed.cluster.node_log import internal_errors
 from spindlerelay.transport.event_loop import EventLoop
+from spindlerelay.transport.internal_errors import ErrorPlace
 from tests.peers import SETTINGS, TIMEOUT_S, Balancer, Program, listener, port
 
 A, B = (f"{n:016x}" for n in (0xA1, 0xB2))
@@ -179,3 +181,24 @@
     for caller in callers:
         caller.settimeout(TIMEOUT_S)
         assert caller.recv(4096).startswith(b"HTTP/1.1 200")
+
+
+def test_internal_errors_are_counted_by_place_and_published(tmp_path: Path) -> None:
+    """They were only logged: a handler of last resort hid what broke behind it."""
+    loop = EventLoop()
+
+    def fault() -> None:
+        raise RuntimeError("scripted fault")
+
+    assert not loop.call_guarded(fault, ErrorPlace.TIMER) and not loop.call_guarded(fault, ErrorPlace.TIMER)
+    assert loop.call_guarded(lambda: None, ErrorPlace.SOCKET)
+    lines = NodeMetrics().lines(0, loop.internal_errors.counts).decode().splitlines()
+    assert [line for line in lines if "internal" in line] == ["spindlerelay_internal_errors_total.timer:2|c"]
+    assert b"internal" not in NodeMetrics().lines(0, EventLoop().internal_errors.counts)
+
+
+def test_log_of_a_node_shows_its_internal_errors(tmp_path: Path) -> None:
+    log = tmp_path / "log"
+    assert internal_errors(log) == []
+    log.write_text("INFO n1 listens on\nERROR a fault in the program: KeyError(2)\nWARNING run refused: x\n")
+    assert internal_errors(log) == ["ERROR a fault in the program: KeyError(2)"]
