--- a/spindlerelay/testbed/checker.py
+++ b/spindlerelay/testbed/checker.py
@@ -44,8 +44,9 @@
 
     MAX_VIOLATIONS = 200
 
-    def __init__(self, key_window_ms: float) -> None:
+    def __init__(self, key_window_ms: float, drain_grace_ms: float = DRAIN_GRACE_MS) -> None:
         self._idempotency_window_ms = key_window_ms
+        self._drain_grace_ms = drain_grace_ms
         self.violations: list[Violation] = []
         self.counts: Counter[str] = Counter()
         self._open: dict[str, _Attempt] = {}
@@ -102,7 +103,7 @@
         self._runs.add((node, call))
         if attempt.key:
             self._check_idempotency(call, attempt)
-        grace_end = self._draining_since.get(node, math.inf) + DRAIN_GRACE_MS + SOCKET_TOLERANCE_MS
+        grace_end = self._draining_since.get(node, math.inf) + self._drain_grace_ms + SOCKET_TOLERANCE_MS
         if attempt.received_at > grace_end:
             self.record_violation("drain", node, f"{call}: run, though it came past the grace")
 
@@ -159,6 +160,14 @@
         if attempt and attempt.due < math.inf:
             self.record_violation("lost", attempt.node, f"{call}: the connection ended without an answer")
 
+    def attempt_withdrawn(self, call: str) -> None:
+        """Record that nothing is owed for an attempt any more: its close crossed it, by the protocol."""
+        self._open.pop(call, None)
+
+    def is_open(self, call: str) -> bool:
+        """Return whether an attempt was written and is not answered."""
+        return call in self._open
+
     def extend_due_times(self, ms: float, node: str = "") -> None:
         """Extend due times by a pause of the observer, or of one node: by the rules it does not count."""
         for call, attempt in self._open.items():
--- a/spindlerelay/testbed/servers/store.py
+++ b/spindlerelay/testbed/servers/store.py
@@ -146,9 +146,13 @@
                 client, body = released
                 client.connection.write(line_protocol.encode_message(call, "OK", block=response_to(body)))
 
+    def break_connections(self) -> None:
+        """Close all connections: the calls on them are given up."""
+        for client in list(self._clients):
+            client.connection.close()
+
     def close(self) -> None:
         """Close the listener and all connections."""
         if self.listener:
             self.listener.close()
-        for client in list(self._clients):
-            client.connection.close()
+        self.break_connections()
