--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -49,8 +49,8 @@
 
     start, handle = GracefulShutdown.start, AdmissionController._handle
 
-    def endless(self: GracefulShutdown, *args: Any) -> None:
-        start(self, *args)
+    def endless(self: GracefulShutdown, remaining_ms: float, handover: bool) -> None:
+        start(self, remaining_ms, handover)
         self.last_run_at_ms = float("inf")
 
     def without_drain(self: AdmissionController, event: Any) -> None:
