--- a/spindlerelay/testbed/drills/beliefs.py
+++ b/spindlerelay/testbed/drills/beliefs.py
@@ -7,8 +7,9 @@
 from __future__ import annotations
 
 import time
-from typing import Any, NamedTuple
+from typing import Any
 
+from spindlerelay.testbed.drills.seed_ranges import SeedRange, seed_ranges
 from spindlerelay.testbed.simulation import membership_simulation, routing_simulation
 
 CORES_EACH = 1.0
@@ -19,23 +20,12 @@
 MAX_VIOLATIONS_REPORTED = 5
 
 
-class Job(NamedTuple):
-    """A range of seeds."""
-
-    first: int
-    seeds: int
-
-
-def plan(seed: int, runs: int, nodes: int, wide: bool, seeds: int = SEEDS) -> list[Job]:  # noqa: ARG001 - a hook
+def plan(seed: int, runs: int, nodes: int, wide: bool, seeds: int = SEEDS) -> list[SeedRange]:  # noqa: ARG001 - a hook
     """Return jobs for ``seeds`` seeds; ``seed`` counts blocks of so many, from 1."""
-    first = (seed - 1) * seeds
-    return [
-        Job(start, min(SEEDS_PER_JOB, first + seeds - start))
-        for start in range(first, first + seeds, SEEDS_PER_JOB)
-    ]
+    return seed_ranges(seed, seeds, SEEDS_PER_JOB)
 
 
-def run(job: Job) -> dict[str, Any]:
+def run(job: SeedRange) -> dict[str, Any]:
     """Return the figures of a job, with the first violation of each seed and simulation."""
     started_s = time.process_time()
     violations = list[str]()
--- a/spindlerelay/testbed/drills/simulation.py
+++ b/spindlerelay/testbed/drills/simulation.py
@@ -12,8 +12,9 @@
 import os
 import subprocess
 import sys
-from typing import Any, NamedTuple
+from typing import Any
 
+from spindlerelay.testbed.drills.seed_ranges import SeedRange, seed_ranges
 from spindlerelay.testbed.simulation import fault_schedule, scenario_player
 from spindlerelay.testbed.simulation.scenario_player import Outcome
 
@@ -28,20 +29,9 @@
 HASH_SEEDS = 1000
 
 
-class Job(NamedTuple):
-    """A range of seeds."""
-
-    first: int
-    seeds: int
-
-
-def plan(seed: int, runs: int, nodes: int, wide: bool, seeds: int = SEEDS) -> list[Job]:  # noqa: ARG001 - a hook
+def plan(seed: int, runs: int, nodes: int, wide: bool, seeds: int = SEEDS) -> list[SeedRange]:  # noqa: ARG001 - a hook
     """Return jobs for ``seeds`` seeds; ``seed`` counts blocks of so many, from 1."""
-    first = (seed - 1) * seeds
-    return [
-        Job(start, min(SEEDS_PER_JOB, first + seeds - start))
-        for start in range(first, first + seeds, SEEDS_PER_JOB)
-    ]
+    return seed_ranges(seed, seeds, SEEDS_PER_JOB)
 
 
 def _digest_of_replay(seed: int) -> str:
@@ -60,7 +50,7 @@
     return f"{summary}; again by: spindlerelay simulate {seed}\n    {last_events}"
 
 
-def run(job: Job) -> dict[str, Any]:
+def run(job: SeedRange) -> dict[str, Any]:
     """Return the figures of a job."""
     figures: dict[str, Any] = {"seeds": 0, "virtual_seconds": 0.0, "real_seconds": 0.0, "requests": 0}
     violations = list[str]()
