Drill processes: look for synchrony in the story march alone

The suite plays no whole drill of processes, so it did not show it.

Cause: took the figures of synchrony in every story; only march has an instant at which all interpreters come up, so the spans of the others reached from 1970 on.

--- a/spindlerelay/testbed/drills/processes.py
+++ b/spindlerelay/testbed/drills/processes.py
@@ -160,16 +160,10 @@
     with checked_out([job.before]) if job.before else nullcontext({}) as folders:
         shards = shard_count(job.nodes)
         record = coordinator.play(cluster_spec(job, folders.get(job.before, "")), shards)
-    reports = observations.event_counts(
-        record.report_times, PEAK_INTERVAL_MS, record.interpreters_connected_at, MARCH_RUN_MS
-    )
-    redials = observations.event_counts(
-        record.refused_connection_times, PEAK_INTERVAL_MS, REFUSED_AT_MS, REFUSED_AT_MS + REFUSED_MS
-    )
+    synchrony_figures = synchrony_of_record(record) if job.story == MARCH else {}
     return (
         figures_of_record(job._asdict(), shards, record)
-        | synchrony("reports", reports, REPORT_PERIOD_MS)
-        | synchrony("redials", redials, REDIAL_PERIOD_MS)
+        | synchrony_figures
         | {
             "redials": len(record.refused_connection_times),
             "requests": len(record.rows),
@@ -195,6 +189,17 @@
     }
 
 
+def synchrony_of_record(record: RunRecord) -> dict[str, float]:
+    """Return the figures of ``synchrony`` for the reports and redials of a run of the story ``march``."""
+    reports = observations.event_counts(
+        record.report_times, PEAK_INTERVAL_MS, record.interpreters_connected_at, MARCH_RUN_MS
+    )
+    redials = observations.event_counts(
+        record.refused_connection_times, PEAK_INTERVAL_MS, REFUSED_AT_MS, REFUSED_AT_MS + REFUSED_MS
+    )
+    return synchrony("reports", reports, REPORT_PERIOD_MS) | synchrony("redials", redials, REDIAL_PERIOD_MS)
+
+
 def group_by_story(results: list[dict[str, Any]]) -> dict[tuple[str, str], list[dict[str, Any]]]:
     """Return the results by story and by who chooses."""
     groups: dict[tuple[str, str], list[dict[str, Any]]] = {}
