Soak and drills: one reader of single requests, one ratio of peak to mean

Found on reading the whole change once more: HalfWriter and SlowReading read their response by the same lines, which stand in SingleRequest now; the first rejection of an incarnation is derived from its list instead of kept beside it; the ratio of peak to mean stood in two places. Behaviour is unchanged, no test is touched.

--- a/spindlerelay/testbed/cluster/node_host.py
+++ b/spindlerelay/testbed/cluster/node_host.py
@@ -43,13 +43,17 @@
         self.started_at = began
         self.terminated_at = 0.0  # SIGTERM
         self.last_answer_at = 0.0
-        self.first_rejection_at = 0.0
         self.rejections_at: list[float] = []  # when each rejection was read
         self.exited_at = 0.0
         self.exit_status: int | None = None
         self.answer_count = 0
         self.latency = HdrHistogram(1, MAX_LATENCY_MS, 3)  # ms from receipt to a successful answer
 
+    @property
+    def first_rejection_at(self) -> float:
+        """When the first rejection was read, 0 before."""
+        return self.rejections_at[0] if self.rejections_at else 0.0
+
 
 class HostContext(NamedTuple):
     """What a host uses of its cluster.
--- a/spindlerelay/testbed/cluster/node_pool.py
+++ b/spindlerelay/testbed/cluster/node_pool.py
@@ -188,7 +188,6 @@
 
     def _count_failure(self, now: float, host: NodeHost, answer: Response) -> None:
         if answer.kind == "refused":
-            host.incarnations[-1].first_rejection_at = host.incarnations[-1].first_rejection_at or now
             host.incarnations[-1].rejections_at.append(now)
         self.failures[failure_reason(answer)] += 1
         if answer.kind == "refused" and self.started_at:
--- a/spindlerelay/testbed/cluster/observations.py
+++ b/spindlerelay/testbed/cluster/observations.py
@@ -131,6 +131,11 @@
     return counts
 
 
+def peak_ratio(counts: Counts) -> float:
+    """Return the largest count over the mean; 0 without events."""
+    return float(counts.max() / counts.mean()) if counts.any() else 0.0
+
+
 def peak_bound(mean: float, spans: int, probability: float) -> float:
     """Return the ratio of peak to mean that independent senders stay under with a probability.
 
@@ -158,5 +163,4 @@
 
 def peak_to_mean(at: list[float], span_ms: float, start: float, end: float) -> float:
     """Return the most events in one span over the mean of all spans between two times; 0 without events."""
-    counts = event_counts(at, span_ms, start, end)
-    return float(counts.max() / counts.mean()) if counts.any() else 0.0
+    return peak_ratio(event_counts(at, span_ms, start, end))
--- a/spindlerelay/testbed/drills/processes.py
+++ b/spindlerelay/testbed/drills/processes.py
@@ -182,7 +182,7 @@
     mean = float(counts.mean()) if len(counts) else 0.0
     period_spans = round(period_ms / PEAK_INTERVAL_MS)
     return {
-        f"{name}_peak": float(counts.max() / mean) if mean else 0.0,
+        f"{name}_peak": observations.peak_ratio(counts),
         f"{name}_peak_bound": observations.peak_bound(mean, len(counts), INDEPENDENT_PROBABILITY),
         f"{name}_dispersion": observations.dispersion(counts),
         f"{name}_dispersion_bound": observations.dispersion_bound(period_spans, INDEPENDENT_PROBABILITY),
--- a/spindlerelay/testbed/soak/clients.py
+++ b/spindlerelay/testbed/soak/clients.py
@@ -233,18 +233,29 @@
             balancer.close()
 
 
-class HalfWriter:
-    """A connection on which a request is written in two parts."""
+class SingleRequest:
+    """One request on a connection of its own."""
 
-    def __init__(self, clients: Clients, call: str, sent: SentRequest, rest_after_ms: float) -> None:
+    def __init__(self, clients: Clients, call: str, sent: SentRequest) -> None:
+        request = sent.request
         self._clients = clients
         self._call = call
-        self._sent = sent
-        self._rest_after_ms = rest_after_ms
         self._protocol = MessagePackRpc()
-        self._frame = self._protocol.request(
-            1, sent.request.cls.name, clients._fields(call, sent), sent.request.body
-        )
+        self._frame = self._protocol.request(1, request.cls.name, clients._fields(call, sent), request.body)
+
+    def _data(self, data: bytes) -> None:
+        for number, response in self._protocol.feed(data):
+            if number is not None:
+                self._clients._answered(self._call, response)
+                self._clients._on_end(self._call)
+
+
+class HalfWriter(SingleRequest):
+    """A connection on which a request is written in two parts."""
+
+    def __init__(self, clients: Clients, call: str, sent: SentRequest, rest_after_ms: float) -> None:
+        super().__init__(clients, call, sent)
+        self._rest_after_ms = rest_after_ms
         self._connection = connect(clients._loop, clients._address, self._data, self._closed, self._opened)
 
     def _opened(self) -> None:
@@ -259,12 +270,6 @@
             self._connection.write(self._frame[half:])
             self._clients._written(self._call)
 
-    def _data(self, data: bytes) -> None:
-        for number, response in self._protocol.feed(data):
-            if number is not None:
-                self._clients._answered(self._call, response)
-                self._clients._on_end(self._call)
-
     def _closed(self, _opened: bool) -> None:
         if not self._clients._checker.is_open(self._call):
             return
@@ -274,21 +279,16 @@
             self._clients._checker.connection_closed(self._call)
 
 
-class SlowReading:
+class SlowReading(SingleRequest):
     """A connection with a small receive buffer that is read only after a while."""
 
     def __init__(self, clients: Clients, call: str, sent: SentRequest, read_after_ms: float) -> None:
-        self._clients = clients
-        self._call = call
-        self._protocol = MessagePackRpc()
+        super().__init__(clients, call, sent)
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_RECEIVE_BUFFER)
-        frame = self._protocol.request(
-            1, sent.request.cls.name, clients._fields(call, sent), sent.request.body
-        )
         try:
             self._socket.connect(clients._address)
-            self._socket.sendall(frame)
+            self._socket.sendall(self._frame)
         except OSError:  # refused, or reset before anything was written
             self._socket.close()
             return
@@ -299,12 +299,6 @@
     def _read(self) -> None:
         Connection(self._clients._loop, self._socket, self._data, self._closed)
 
-    def _data(self, data: bytes) -> None:
-        for number, response in self._protocol.feed(data):
-            if number is not None:
-                self._clients._answered(self._call, response)
-                self._clients._on_end(self._call)
-
     def _closed(self, _opened: bool) -> None:
         if self._clients._checker.is_open(self._call):
             if self._clients.closing:
