--- /dev/null
+++ b/review/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the review: balancers, interpreter, store and announce service, by the protocol page."""
