Review, case 2: after a broken link a run gets the reply to an earlier call

Cause: commands without proof are sent again after the replay; RESOLVE names no call, and the run may have reached its next call by then.

The balancer stand-in keeps its readers until they end; before, one could be collected while its connection was open.

--- a/review/standins/interpreter.py
+++ b/review/standins/interpreter.py
@@ -31,7 +31,8 @@
         cores: cores, for the gauges.
         plan: returns the parts of a run in ms; it calls the store between two parts.
         end: returns how a run ends: ``fine`` or ``fault``.
-        piece_gap_ms: longest time between two pieces of a notice; 0 writes each notice whole.
+        piece_share: share of the notices that arrive in two pieces.
+        piece_gap_ms: longest time between the two pieces.
         seed: seed of the places at which notices are cut.
     """
 
@@ -42,6 +43,7 @@
         cores: int,
         plan: Callable[[Try], list[float]],
         end: Callable[[Try], str] = lambda _: "fine",
+        piece_share: float = 0.0,
         piece_gap_ms: float = 0.0,
         seed: int = 1,
     ) -> None:
@@ -50,12 +52,16 @@
         self.cores = cores
         self.plan = plan
         self.end = end
+        self.piece_share = piece_share
         self.piece_gap_ms = piece_gap_ms
         self.random = random.Random(seed)
         self.address = ""
         self.links = 0
         self.active: dict[str, _ActiveRun] = {}
-        self.wrong_replies: list[str] = []
+        self.ended: set[str] = set()
+        # Called with the call and the number of the store's reply, when a reply has reached its run.
+        self.on_resolved: Callable[[str, int], None] = lambda _call, _number: None
+        self.wrong_replies: dict[str, str] = {}  # what a run was given for another call's reply, by call
         self._notices: list[tuple[int, bytes]] = []
         self._last_number = 0
         self._output: asyncio.Queue[bytes] | None = None
@@ -99,7 +105,7 @@
     async def _send(self, output: asyncio.Queue[bytes], writer: asyncio.StreamWriter) -> None:
         while True:
             data = await output.get()
-            if self.piece_gap_ms and len(data) > 1:
+            if self.random.random() < self.piece_share:
                 cut = self.random.randrange(1, len(data))
                 writer.write(data[:cut])
                 await asyncio.sleep(self.random.uniform(0.0, self.piece_gap_ms) / 1000.0)
@@ -152,7 +158,7 @@
             self._write(f"ERROR APPLY {call}\r\n".encode())
         elif call in self.active:
             self.record.note(f"{self.name}: APPLY {call} ({one.label}) came again, it runs already")
-        elif one.is_over():
+        elif one.is_over() or call in self.ended:
             self._notify("VALUE", f"{call} late 0", b"")
         else:
             self.record.runs.append(Run(now_ms(), self.name, call))
@@ -167,11 +173,12 @@
             return
         expected = b"reply to " + self._call_body(run)
         if reply != expected:
-            text = f"{call}: the run waits for {expected!r} and was given {reply!r}"
-            self.wrong_replies.append(text)
-            self.record.note(f"{self.name}: WRONG REPLY {text}")
+            text = f"its run waits for {expected.decode()!r} and was given {reply.decode()!r}"
+            self.wrong_replies[call] = text
+            self.record.note(f"{self.name}: wrong reply to {call}: {text}")
         run.replies.append(reply)
         self._go_on(run)
+        self.on_resolved(call, run.part)
 
     def _call_body(self, run: _ActiveRun) -> bytes:
         return b"query %d of %s" % (run.part + 1, run.call.encode())
@@ -196,12 +203,13 @@
         end = self.end(one)
         result = b""
         if end == "fine":
-            result = b"result %d of %s" % (len(self.record.runs), run.call.encode())
+            result = b"page of %s with %s" % (run.call.encode(), b", ".join(run.replies))
             self.record.results.setdefault(run.call, []).append(result)
         self._end(run, end, result)
 
     def _end(self, run: _ActiveRun, end: str, result: bytes) -> None:
         del self.active[run.call]
+        self.ended.add(run.call)
         self.record.note(f"{self.name}: run of {run.call} ends: {end}")
         self._notify("VALUE", f"{run.call} {end} {now_ms() - run.began_ms:.1f}", result)
 
--- a/review/standins/peers.py
+++ b/review/standins/peers.py
@@ -154,7 +154,7 @@
         self._writer: asyncio.StreamWriter | None = None
         self._last_id = 0
         self._open: dict[int, Try] = {}
-        self._reader_task: asyncio.Task[None] | None = None
+        self._readers: set[asyncio.Task[None]] = set()
 
     async def send(self, cls: str, label: str, key: str = "", body: bytes = b"", **more: Any) -> Try:
         """Write one try and return it; ``more`` may hold ``ttl_ms`` and ``rep``."""
@@ -189,7 +189,9 @@
         self._writer = writer
         self._last_id = 0
         self._open = {}
-        self._reader_task = asyncio.create_task(self._read(reader, writer, self._open))
+        task = asyncio.create_task(self._read(reader, writer, self._open))
+        self._readers.add(task)
+        task.add_done_callback(self._readers.discard)
 
     async def _read(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, waiting: dict[int, Try]
