Review, case 3: one long remark of the interpreter ends service until a restart

Cause: a line over 1,024 bytes, which the protocol allows, is taken as a fault of the link; the link is closed, and the notice comes again first in each replay.

--- a/review/standins/interpreter.py
+++ b/review/standins/interpreter.py
@@ -80,6 +80,11 @@
             self._writer = None
             self._output = None
 
+    def remark(self, text: str) -> None:
+        """Send a remark, which is a numbered notice without a block."""
+        self._last_number += 1
+        self._keep(f"TRACE {self._last_number} {text}\r\n".encode())
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         output: asyncio.Queue[bytes] = asyncio.Queue()
         sender = asyncio.create_task(self._send(output, writer))
@@ -127,12 +132,14 @@
         if self._output is not None:
             self._output.put_nowait(data)
 
-    def _notify(self, verb: str, rest: str, block: bytes) -> int:
+    def _notify(self, verb: str, rest: str, block: bytes) -> None:
         self._last_number += 1
         data = f"{verb} {self._last_number} {rest} {len(block)}\r\n".encode() + block + b"\r\n"
+        self._keep(data)
+
+    def _keep(self, data: bytes) -> None:
         self._notices = [*self._notices[-KEPT_NOTICES + 1 :], (self._last_number, data)]
         self._write(data)
-        return self._last_number
 
     def _command(self, words: list[str], block: bytes) -> None:
         match words:
