--- a/review/standins/verdict.py
+++ b/review/standins/verdict.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import tempfile
 import traceback
@@ -26,6 +27,7 @@
     that were broken.
     """
     record = Record(case)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))  # so that the nodes are ended, too
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         with tempfile.TemporaryDirectory() as folder:
