Interpreter: write the response of a call once, and let an unconfirmed run go on without

Callers saw: a preview whose page was rendered with the response of its first call in the place of that of its second, answered as served. It came after a broken connection to the interpreter.

Cause: after the replay the client sent every command again that was not proven read. RESOLVE names no call. A run that had read it could reach its next call between the interpreter's answer that ends the replay and the repeated command, and took the old response for the new one.

Refuted: replies mixed up between calls by the store's client; the right reply came later, to its own call.

Fix: a response is written to one connection at most; one that came while disconnected is still sent. A run that may lack its response is reported to the controller (RunUnconfirmed). It goes on without the call where the settings allow (STUB names the call, so it does nothing to a run that has gone on); else an idempotent request fails so that its caller may retry, and another keeps its time, as its retry would not run. Neither counts as running meanwhile. A moved address waits for proof on the old connection, 1 s at most, so that SIGHUP leaves nothing unknown. No later command can be told apart from one that was lost, so nothing short of this is safe: a delay or the gauges do not prove where a run stands.

A link lost in silence, a malformed line, a move at SIGHUP and a late banner all go through _connect and the replay. The emulated interpreter skipped any call at STUB; it now heeds the number.

--- a/spindlerelay/api/__init__.py
+++ b/spindlerelay/api/__init__.py
@@ -33,6 +33,7 @@
     Outcome,
     RequestReceived,
     RunCompleted,
+    RunUnconfirmed,
     SettingsChanged,
     TimerFired,
 )
@@ -73,6 +74,7 @@
     "RespondFromCache",
     "Run",
     "RunCompleted",
+    "RunUnconfirmed",
     "SetHealth",
     "SetIdleTimeout",
     "SetTimer",
--- a/spindlerelay/api/events.py
+++ b/spindlerelay/api/events.py
@@ -74,6 +74,16 @@
     duration_ms: float = 0.0
 
 
+class RunUnconfirmed(NamedTuple):
+    """It is unknown whether a run proceeds: a command that it needs may be lost, and cannot be sent again.
+
+    The command is the response of its dependency call. A run without it waits for ``SkipDependencyCall`` or
+    ``Fail``.
+    """
+
+    id: int
+
+
 class CallerDisconnected(NamedTuple):
     """The caller of a request has stopped waiting for the response."""
 
@@ -126,6 +136,7 @@
 Event = (
     RequestReceived
     | RunCompleted
+    | RunUnconfirmed
     | CallerDisconnected
     | DependencyCallRequested
     | DependencyCallCompleted
--- a/spindlerelay/backends/interpreter_client.py
+++ b/spindlerelay/backends/interpreter_client.py
@@ -2,8 +2,12 @@
 
 The connection may break at any time while runs continue. Notices are numbered, so on a new connection the
 interpreter replays the notices that were not read. Commands are not numbered, so a command is stored until it
-is known to have been read, and sent again on a new connection once the replay is complete: the replayed
-notices show which commands the interpreter had read before.
+is known to have been read. Once the replay on a new connection is complete, the commands without such proof
+are sent again, but only those that have no effect if they were executed before.
+
+The response of a dependency call does not name the call that it belongs to. If it was read before the
+connection broke, the run may reach its next call at any time, and would take the repeated response for that
+of the next call. It is therefore never sent twice, and ``on_unconfirmed`` is called instead.
 
 Owns the connection and the replay. Must not depend on what the node does with a notice.
 """
@@ -39,6 +43,7 @@
 REPLAY_PROBE_INTERVAL_MS = 200.0
 SILENCE_TIMEOUT_MS = 1500.0  # gauges are requested several times per second
 STARTUP_SILENCE_TIMEOUT_MS = 10000.0  # an interpreter that starts late delays its first banner
+CONFIRMATION_TIMEOUT_MS = 1000.0  # connections to an address that has moved are closed 0.5 s later
 # Jitter, as a fraction of the timeout: nodes that started together must not reconnect at the same time.
 STARTUP_TIMEOUT_JITTER = 0.5
 SILENCE_CHECKS_PER_TIMEOUT = 4
@@ -51,21 +56,31 @@
     CONNECTING = "connecting"
     REPLAYING = "replaying"
     SYNCHRONIZED = "synchronized"
+    CONFIRMING = "confirming"  # the address has changed; commands wait until those sent are known to be read
 
 
 TRANSITIONS: dict[LinkState, frozenset[LinkState]] = {
     LinkState.DISCONNECTED: frozenset({LinkState.CONNECTING}),
     LinkState.CONNECTING: frozenset({LinkState.CONNECTING, LinkState.REPLAYING, LinkState.DISCONNECTED}),
     LinkState.REPLAYING: frozenset({LinkState.SYNCHRONIZED, LinkState.CONNECTING, LinkState.DISCONNECTED}),
-    LinkState.SYNCHRONIZED: frozenset({LinkState.CONNECTING, LinkState.DISCONNECTED}),
+    LinkState.SYNCHRONIZED: frozenset({LinkState.CONNECTING, LinkState.DISCONNECTED, LinkState.CONFIRMING}),
+    LinkState.CONFIRMING: frozenset({LinkState.CONNECTING, LinkState.DISCONNECTED}),
 }
 
 
 class InterpreterClient:
     """The client of the interpreter.
 
-    ``on_notice`` receives every notice about a run once, in order; ``on_started`` receives each banner.
-    Commands may be given at any time; the interpreter receives each command, and executes it once.
+    Commands may be given at any time. The interpreter receives each command once, except the response of a
+    dependency call that was lost with a connection.
+
+    Args:
+        loop: event loop of the connection.
+        address: host and port of the interpreter.
+        on_notice: called with every notice about a run once, in order.
+        on_started: called with each banner.
+        on_unconfirmed: called with the call id of a run if it is not known whether a command about it was
+            executed, and the command must not be sent again.
     """
 
     def __init__(
@@ -74,11 +89,13 @@
         address: tuple[str, int],
         on_notice: Callable[[RunFinished | CallRequested | CommandRejected], None],
         on_started: Callable[[InterpreterStarted], None],
+        on_unconfirmed: Callable[[str], None],
     ) -> None:
         self.loop = loop
         self.address = address
         self.on_notice = on_notice
         self.on_started = on_started
+        self.on_unconfirmed = on_unconfirmed
         self.gauges: tuple[float, ...] = ()
         self.gauges_tag = ""  # tag of the newest gauges
         self.interpreter_has_started = False  # a banner has arrived since this process started
@@ -94,6 +111,8 @@
         self._replay_probe_tag = ""
         self._replay_probe_timer: Timer | None = None
         self._reconnect_timer: Timer | None = None
+        self._confirmation_tag = ""
+        self._confirmation_timer: Timer | None = None
         self._last_data_at_ms = 0.0
         jitter = 1.0 + STARTUP_TIMEOUT_JITTER * loop.random.random()
         self._startup_timeout_ms = STARTUP_SILENCE_TIMEOUT_MS * jitter
@@ -101,10 +120,19 @@
         loop.call_later(SILENCE_TIMEOUT_MS / SILENCE_CHECKS_PER_TIMEOUT, self._check_silence)
 
     def change_address(self, address: tuple[str, int]) -> None:
-        """Connect to another address; notices and commands continue as after a lost connection."""
+        """Connect to another address; notices and commands continue as after a lost connection.
+
+        The old connection is kept until the commands sent on it are known to have been read, since not all
+        of them may be sent again.
+        """
         self.address = address
         self._backoff.reset()
-        self._connect()
+        if self._state is LinkState.SYNCHRONIZED and self._commands:
+            self._confirmation_tag = self.request_gauges()
+            self._lose_synchronization(LinkState.CONFIRMING)
+            self._confirmation_timer = self.loop.call_later(CONFIRMATION_TIMEOUT_MS, self._connect)
+        elif self._state is not LinkState.CONFIRMING:
+            self._connect()
 
     def unavailable_ms(self) -> float:
         """Return for how long the connection has not been synchronized, or 0 while it is synchronized."""
@@ -118,7 +146,7 @@
 
     def deliver_call_response(self, call_id: str, response: bytes) -> None:
         """Deliver the response of a run's dependency call."""
-        self._send(call_id, protocol.encode_call_response(call_id, response))
+        self._send(call_id, protocol.encode_call_response(call_id, response), repeatable=False)
 
     def skip_call(self, call_id: str, sequence_number: int) -> None:
         """Continue a run without the dependency call that a notice has requested."""
@@ -138,10 +166,11 @@
         self._connection.write(protocol.encode_gauges_request(tag))
         return tag
 
-    def _send(self, call_id: str, data: bytes) -> None:
-        self._commands.add(call_id, data)
+    def _send(self, call_id: str, data: bytes, repeatable: bool = True) -> None:
+        self._commands.add(call_id, data, repeatable)
         if self._state is LinkState.SYNCHRONIZED and self._connection:
             self._connection.write(data)
+            self._commands.mark_written()
 
     def _connect(self) -> None:
         """Replace the connection; late callbacks of the old one are recognized by its number."""
@@ -152,6 +181,8 @@
             self._reconnect_timer.cancel()
         if self._replay_probe_timer:
             self._replay_probe_timer.cancel()
+        if self._confirmation_timer:
+            self._confirmation_timer.cancel()
         self._decoder = LineDecoder(block_length)
         self._lose_synchronization(LinkState.CONNECTING)
         self._replay_probe_tag = f"t{number}-sync"
@@ -195,6 +226,8 @@
         self._lose_synchronization(LinkState.DISCONNECTED)
         if self._replay_probe_timer:
             self._replay_probe_timer.cancel()
+        if self._confirmation_timer:
+            self._confirmation_timer.cancel()
         if established:
             self.loop.warnings.warn("interpreter connection lost", "runs continue, reconnecting")
         self._reconnect_timer = self.loop.call_later(self._backoff.next_delay_ms(), self._connect)
@@ -261,11 +294,18 @@
         is_current = connection == f"t{self._connection_number}"
         if is_current and command_number.isdigit() and self._commands:
             self._commands.acknowledge_up_to(int(command_number))
+        if self._state is LinkState.CONFIRMING and report.tag == self._confirmation_tag:
+            self._connect()
 
     def _on_replay_complete(self) -> None:
-        """Send the commands again that were not read; none of them starts a run that was started before."""
+        """Send the commands without proof that they were read, except those that must not be repeated."""
+        assert self._connection
         self._enter(LinkState.SYNCHRONIZED)
         self._backoff.reset()  # not at the banner, as a malformed line in the replay would recur
-        for data in self._commands:
-            if self._connection:
-                self._connection.write(data)
+        unconfirmed = self._commands.remove_unrepeatable()
+        for command in self._commands:
+            self._connection.write(command.data)
+        self._commands.mark_written()
+        for command in unconfirmed:
+            self.loop.warnings.warn("command to the interpreter unconfirmed", command.call_id)
+            self.on_unconfirmed(command.call_id)
--- a/spindlerelay/node/action_executor.py
+++ b/spindlerelay/node/action_executor.py
@@ -150,7 +150,10 @@
     def _skip_dependency_call(self, action: api.SkipDependencyCall) -> None:
         context = self._context
         request = context.requests.by_id.get(action.id)
-        if request is None or not request.call_number:
+        if request is None:
+            return
+        call_number = request.call_number or request.delivered_call_number
+        if not call_number:
             return
         dependencies = context.backends.dependencies
         if dependencies is not None:
@@ -162,7 +165,6 @@
                 self._responder.give_up(request, Failure())
                 return
             dependencies.call_skipped(request.incoming, request.call_body)
-        call_number = request.call_number
         context.backends.cancel_call(request)
         context.backends.interpreter.skip_call(request.incoming.call_id, call_number)
 
--- a/spindlerelay/node/backend_links.py
+++ b/spindlerelay/node/backend_links.py
@@ -53,6 +53,7 @@
         on_notice: Callable[[RunNotice], None],
         on_started: Callable[[InterpreterStarted], None],
         on_reply: Callable[[StoreReply], None],
+        on_unconfirmed: Callable[[str], None],
     ) -> None:
         """Create the clients of all backends.
 
@@ -63,8 +64,12 @@
             on_notice: called with each notice of the interpreter about a run.
             on_started: called with the banner that the interpreter sends on each new connection.
             on_reply: called with the result of each dependency call.
+            on_unconfirmed: called with the call id of a run if it is not known whether the interpreter has
+                executed a command about it.
         """
-        self.interpreter = InterpreterClient(loop, addresses.interpreter, on_notice, on_started)
+        self.interpreter = InterpreterClient(
+            loop, addresses.interpreter, on_notice, on_started, on_unconfirmed
+        )
         self.store = StoreClient(loop, addresses.store, on_reply)
         self.discovery = DiscoveryClient(loop, addresses.discovery, node_name)
 
--- a/spindlerelay/node/node.py
+++ b/spindlerelay/node/node.py
@@ -124,6 +124,7 @@
             self.on_interpreter_notice,
             self.on_interpreter_started,
             self.run_tracker.on_reply,
+            self.run_tracker.on_unconfirmed,
         )
         context.loop.call_later(WATCHDOG_INTERVAL_MS, self._watchdog)
         context.loop.call_later(EXPIRY_INTERVAL_MS, self._expire)
--- a/spindlerelay/node/request.py
+++ b/spindlerelay/node/request.py
@@ -45,6 +45,8 @@
         "key",
         "call_number",
         "call_body",
+        "delivered_call_number",
+        "unconfirmed",
         "started_at_ms",
         "read_at_ms",
     )
@@ -61,6 +63,10 @@
         # Sequence number of the interpreter's notice that requested a dependency call, 0 if no call is open.
         self.call_number = 0
         self.call_body = b""
+        # Sequence number of the notice that requested the newest dependency call, once its response has been
+        # sent to the interpreter; 0 before.
+        self.delivered_call_number = 0
+        self.unconfirmed = False  # whether a command that the run needs may be lost
         self.started_at_ms = 0.0  # start time of the run, or of its dependency call
         self.read_at_ms = now_ms
 
--- a/spindlerelay/node/run_tracker.py
+++ b/spindlerelay/node/run_tracker.py
@@ -36,9 +36,12 @@
         request = self._context.requests.by_call_id.get(notice.call_id)
         if request is None or not request.state.running:
             return
+        if request.unconfirmed:
+            self._confirm(request)
         if isinstance(notice, CallRequested):
             request.call_number = notice.sequence_number
             request.call_body = notice.body
+            request.delivered_call_number = 0
             weight_without_call = self._context.backends.weight_without_call(request)
             self._context.pending_events.append(api.DependencyCallRequested(request.id, weight_without_call))
         elif isinstance(notice, CommandRejected):
@@ -84,6 +87,7 @@
         if request is None or not request.call_number:
             return
         if reply.outcome is api.Outcome.OK:
+            request.delivered_call_number = request.call_number
             request.call_number = 0
             context.backends.interpreter.deliver_call_response(reply.call_id, reply.body)
         # The controller keeps one mean duration for all calls, so one slow dependency would make it forbid
@@ -93,3 +97,21 @@
         if context.backends.dependencies is None:
             duration_ms = context.loop.now() - request.started_at_ms
         context.pending_events.append(api.DependencyCallCompleted(request.id, reply.outcome, duration_ms))
+
+    def on_unconfirmed(self, call_id: str) -> None:
+        """Report a run that may still wait for a call whose response was lost with a connection."""
+        request = self._context.requests.by_call_id.get(call_id)
+        if request is not None and request.running and request.delivered_call_number:
+            request.unconfirmed = True
+            self._context.pending_events.append(api.RunUnconfirmed(request.id))
+
+    def _confirm(self, request: RequestContext) -> None:
+        """Withdraw the report of a run that has turned out to proceed, if it is still pending.
+
+        The controller would otherwise skip the call that the run has requested since.
+        """
+        request.unconfirmed = False
+        pending_events = self._context.pending_events
+        report = api.RunUnconfirmed(request.id)
+        if report in pending_events:
+            pending_events.remove(report)
--- a/spindlerelay/testbed/baseline_policies/fixed_queue.py
+++ b/spindlerelay/testbed/baseline_policies/fixed_queue.py
@@ -87,7 +87,8 @@
         event: api.RunCompleted
         | api.CallerDisconnected
         | api.DependencyCallRequested
-        | api.DependencyCallCompleted,
+        | api.DependencyCallCompleted
+        | api.RunUnconfirmed,
         actions: list[api.Action],
     ) -> None:
         if isinstance(event, api.RunCompleted):
@@ -106,7 +107,9 @@
                 if remaining_ms > MIN_CALL_MS
                 else api.Fail(request.id)
             )
-        elif event.outcome is not api.Outcome.OK and not request.answered:
+        elif isinstance(event, api.DependencyCallCompleted) and event.outcome is api.Outcome.OK:
+            return
+        elif not request.answered:
             if self._settings.classes[request.class_index].partial_response_weight > 0:
                 actions.append(api.SkipDependencyCall(request.id))
             else:
--- a/spindlerelay/testbed/servers/interpreter.py
+++ b/spindlerelay/testbed/servers/interpreter.py
@@ -47,6 +47,7 @@
         self._acknowledged_number = 0  # number of the last notice that the node had read when it connected
         self._notices: deque[tuple[int, bytes]] = deque(maxlen=MAX_REPLAYED_NOTICES)
         self._last_number = 0
+        self._requested_calls: dict[str, int] = {}  # number of the notice that a run waits with, by call id
         self._connection: Connection | None = None
         self._decoder = line_protocol.LineDecoder(block_length)
         self.listener = Listener(loop, address, self._accept)
@@ -58,6 +59,7 @@
         self.connected = False
         self._notices.clear()
         self._last_number = 0
+        self._requested_calls.clear()
         self.break_connection()
 
     def break_connection(self) -> None:
@@ -103,12 +105,17 @@
             case ["APPLY", call_id, class_name, _]:
                 self._on_apply(call_id, class_name, block)
             case ["RESOLVE", call_id, _]:
-                self._on_resume(call_id, block)
-            case ["STUB", call_id, _]:
-                self._on_resume(call_id, None)
+                self._resume(call_id, block)
+            case ["STUB", call_id, number]:
+                if self._requested_calls.get(call_id) == int(number):
+                    self._resume(call_id, None)
             case _:
                 raise line_protocol.LineProtocolError(f"unknown command: {words!r}")
 
+    def _resume(self, call_id: str, reply: bytes | None) -> None:
+        self._requested_calls.pop(call_id, None)
+        self._on_resume(call_id, reply)
+
     def release_banner(self) -> None:
         """End the emulated start-up, and send the banner if the node is waiting for it."""
         self.banner_delayed = False
@@ -134,11 +141,13 @@
 
     def send_run_ended(self, call_id: str, outcome: str, duration_ms: float, result: bytes) -> None:
         """Notify the node that a run has ended, with its outcome, duration and result."""
+        self._requested_calls.pop(call_id, None)
         self._notify("VALUE", call_id, outcome, f"{duration_ms:.1f}", block=result)
 
     def send_run_waiting(self, call_id: str, body: bytes) -> None:
         """Notify the node that a run waits for a dependency call with the request body ``body``."""
         self._notify("AWAIT", call_id, block=body)
+        self._requested_calls[call_id] = self._last_number
 
     def close(self) -> None:
         """Close the connection and the listener."""
--- a/tests/test_admission_dependency_calls.py
+++ b/tests/test_admission_dependency_calls.py
@@ -122,3 +122,43 @@
                 driver.send(api.RunCompleted(action.id, api.Outcome.CANCELLED))
         driver.to(driver.now + 50.0)
     assert 0.0 < in_hand <= 0.4 * 5000.0 + 50.0
+
+
+@pytest.mark.parametrize(
+    ("spec", "decision"),
+    [
+        (PLAIN._replace(partial_response_weight=0.5), api.SkipDependencyCall(1)),
+        (KEYED._replace(partial_response_weight=0.5), api.SkipDependencyCall(1)),
+        (PLAIN, api.Fail(1)),
+        (KEYED, None),
+        (UNSAFE, None),
+    ],
+    ids=["partial", "keyed-partial", "idempotent", "keyed", "non-idempotent"],
+)
+def test_run_whose_response_may_be_lost_proceeds_without_it_or_keeps_its_time(
+    spec: api.ClassSettings, decision: api.Action | None
+) -> None:
+    """It kept a place among the running ones until its deadline, though it used no core."""
+    driver = Driver(settings(spec._replace(calls_dependency=True), cores=1))
+    driver.send(api.RequestReceived(1, 0))
+    driver.send(api.DependencyCallRequested(1))
+    driver.send(api.DependencyCallCompleted(1, api.Outcome.OK))
+    assert not of(api.Run, driver.send(api.RequestReceived(2, 0)))
+    actions = driver.send(api.RunUnconfirmed(1))
+    assert [each for each in actions if isinstance(each, api.SkipDependencyCall | api.Fail)] == (
+        [decision] if decision else []
+    )
+    if decision is None:
+        assert of(api.Run, actions) == [api.Run(2)]
+        driver.send(api.DependencyCallRequested(1))  # the run has received the response after all
+        assert driver.all(api.CallDependency)[-1].id == 1
+
+
+def test_unconfirmed_response_of_an_answered_request_or_a_waiting_run_decides_nothing() -> None:
+    driver = Driver(settings(PLAIN._replace(calls_dependency=True)))
+    driver.send(api.RequestReceived(1, 0))
+    driver.send(api.DependencyCallRequested(1))
+    driver.send(api.RunUnconfirmed(1))  # the run waits for its next call
+    driver.send(api.DependencyCallCompleted(1, api.Outcome.OK), api.CallerDisconnected(1))
+    driver.send(api.RunUnconfirmed(1))
+    assert not driver.all(api.Fail) and not driver.all(api.SkipDependencyCall)
--- a/tests/test_backend_disconnects.py
+++ b/tests/test_backend_disconnects.py
@@ -24,7 +24,9 @@
 @pytest.mark.parametrize("whole", [False, True])
 def test_a_run_that_ends_as_the_interpreter_breaks_off_is_told_once(whole: bool) -> None:
     loop, server, told = EventLoop(), listener(), list[Any]()
-    link = InterpreterClient(loop, server.getsockname(), told.append, lambda banner: None)
+    link = InterpreterClient(
+        loop, server.getsockname(), told.append, lambda banner: None, lambda call_id: None
+    )
 
     def turn(until: Callable[[], Any]) -> None:
         while not until():
--- a/tests/test_event_orders.py
+++ b/tests/test_event_orders.py
@@ -430,6 +430,10 @@
     def command_rejected(self, call: str, command: str) -> None:
         self.node.on_interpreter_notice(CommandRejected(command, call))
 
+    @rule(call=calls)
+    def command_unconfirmed(self, call: str) -> None:
+        self.node.run_tracker.on_unconfirmed(call)
+
     @rule(call=calls, outcome=st.sampled_from(list(api.Outcome)))
     def store_replied(self, call: str, outcome: api.Outcome) -> None:
         self.node.run_tracker.on_reply(StoreReply(call, outcome, b"row"))
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -206,6 +206,34 @@
     assert bench.calls_of("deliver_call_response") == [("deliver_call_response", A, b"r")]
 
 
+def test_unconfirmed_response_is_skipped_by_the_number_of_its_call(bench: NodeBench) -> None:
+    rid = bench.admit(A)
+    bench.execute(api.Run(rid))
+    bench.node.run_tracker.on_unconfirmed(A)  # no response has been sent
+    bench.node.run_tracker.on_notice(CallRequested(1, A, b"q"))
+    bench.execute(api.CallDependency(rid, 250.0))
+    bench.node.run_tracker.on_reply(StoreReply(A, api.Outcome.OK, b"r"))
+    bench.node.run_tracker.on_unconfirmed(A)
+    bench.execute(api.SkipDependencyCall(rid))
+    assert bench.calls_of("skip_call") == [("skip_call", A, 1)]
+    assert bench.controller.events.count(api.RunUnconfirmed(rid)) == 1
+
+
+def test_unconfirmed_response_does_not_skip_the_next_call_that_proves_it(bench: NodeBench) -> None:
+    """Report and next call came in one turn, and the decision on the report was carried out on the call."""
+    rid = bench.admit(A)
+    bench.execute(api.Run(rid))
+    bench.node.run_tracker.on_notice(CallRequested(1, A, b"q"))
+    bench.execute(api.CallDependency(rid, 250.0))
+    bench.node.run_tracker.on_reply(StoreReply(A, api.Outcome.OK, b"r"))
+    bench.node.process_events()
+    bench.node.run_tracker.on_unconfirmed(A)
+    bench.node.run_tracker.on_notice(CallRequested(2, A, b"q"))
+    bench.node.process_events()
+    assert api.RunUnconfirmed(rid) not in bench.controller.events
+    assert api.DependencyCallRequested(rid) in bench.controller.events[-1:]
+
+
 def test_a_keyed_try_that_found_no_room_in_the_table_is_turned_away_unrun(bench: NodeBench) -> None:
     bench.node.idempotency.max_records = 0
     rid = bench.admit(A, 1)
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -65,7 +65,12 @@
     assert kinds(module.step(3000.0, requests(2)), api.Reject) == [2]
 
 
-def test_call_gets_the_remaining_time_and_its_failure_fails_the_request() -> None:
+@pytest.mark.parametrize(
+    "end",
+    [api.DependencyCallCompleted(1, api.Outcome.ERROR), api.RunUnconfirmed(1)],
+    ids=["failed", "unconfirmed"],
+)
+def test_call_gets_the_remaining_time_and_its_failure_fails_the_request(end: api.Event) -> None:
     module = plain()
     module.step(0.0, requests(1, cls=1))
     call = next(
@@ -74,7 +79,7 @@
         if isinstance(action, api.CallDependency)
     )
     assert 4900.0 < call.timeout_ms < 5000.0
-    assert kinds(module.step(1100.0, [api.DependencyCallCompleted(1, api.Outcome.ERROR)]), api.Fail) == [1]
+    assert kinds(module.step(1100.0, [end]), api.Fail) == [1]
 
 
 def test_gradient_limit_falls_with_slow_runs_and_recovers() -> None:
