Interpreter: start a request that may not run twice once, until it is over

Callers would have seen: an order run (charged) twice after a broken connection to the interpreter. No caller reported it.

Cause: APPLY without proof was sent again after the replay. A run that had been started before the break could end in the meantime, its VALUE still on its way, and the interpreter, which keeps no keys, ran it again.

Fix: APPLY of a request that is not idempotent is written to one connection at most. Without proof the run is reported as unconfirmed, does not count as running, and its request keeps its time. 250 ms after its deadline APPLY is sent once more: nothing is started for a request that is over, and VALUE 'late' ends the run in the node's books. APPLY of an idempotent request is sent again as before.

Looked at: BREAK and STUB stay safe to repeat; a request withdrawn or answered before its deadline waits for the deadline all the same; a second break sends the late APPLY again, by then harmless; a drain does not wait for such a run. The fixed-queue policies of the testbed take the new event.

--- a/spindlerelay/admission/controller.py
+++ b/spindlerelay/admission/controller.py
@@ -159,7 +159,7 @@
         elif isinstance(event, api.DependencyCallCompleted):
             self._on_call_completed(request, event)
         elif isinstance(event, api.RunUnconfirmed):
-            self._on_run_unconfirmed(request)
+            self._on_run_unconfirmed(request, event.at_call)
         elif isinstance(event, api.CallerDisconnected):
             request.answered = True
             self._cancel(request)
@@ -262,17 +262,17 @@
         if not self.calls.complete(request, event, self._now_ms):
             self._proceed_without_call(request)
 
-    def _on_run_unconfirmed(self, request: RequestState) -> None:
-        """Handle a run that has the response of its call, or will wait for it until its request is over.
+    def _on_run_unconfirmed(self, request: RequestState, at_call: bool) -> None:
+        """Handle a run that proceeds, or will use no core until its request is over.
 
-        The run proceeds without the call, or fails so that the caller can retry. A request that is not
+        At a call the run proceeds without it, or fails so that the caller can retry. A request that is not
         idempotent keeps its time instead, because its retry would not run anywhere.
         """
         if request.phase is not Phase.RUNNING or request.answered:
             return
         self.requests.set_phase(request, Phase.AWAITING_CALL)
         request.call_started_ms = self._now_ms
-        if request.idempotent or request.partial_response_weight > 0:
+        if at_call and (request.idempotent or request.partial_response_weight > 0):
             self._proceed_without_call(request)
 
     def _reject(self, request: RequestState, shed: bool = False) -> None:
--- a/spindlerelay/api/events.py
+++ b/spindlerelay/api/events.py
@@ -77,11 +77,14 @@
 class RunUnconfirmed(NamedTuple):
     """It is unknown whether a run proceeds: a command that it needs may be lost, and cannot be sent again.
 
-    The command is the response of its dependency call. A run without it waits for ``SkipDependencyCall`` or
-    ``Fail``.
+    Attributes:
+        id: identifier of the request.
+        at_call: whether the command is the response of a dependency call. A run without it waits for
+            ``SkipDependencyCall`` or ``Fail``. Otherwise the command is the start of the run.
     """
 
     id: int
+    at_call: bool
 
 
 class CallerDisconnected(NamedTuple):
--- a/spindlerelay/backends/interpreter_client.py
+++ b/spindlerelay/backends/interpreter_client.py
@@ -7,7 +7,8 @@
 
 The response of a dependency call does not name the call that it belongs to. If it was read before the
 connection broke, the run may reach its next call at any time, and would take the repeated response for that
-of the next call. It is therefore never sent twice, and ``on_unconfirmed`` is called instead.
+of the next call. It is therefore never sent twice, and ``on_unconfirmed`` is called instead. The same holds
+for the start of a run that must not run twice: if it was read, the run may end at any time.
 
 Owns the connection and the replay. Must not depend on what the node does with a notice.
 """
@@ -71,8 +72,8 @@
 class InterpreterClient:
     """The client of the interpreter.
 
-    Commands may be given at any time. The interpreter receives each command once, except the response of a
-    dependency call that was lost with a connection.
+    Commands may be given at any time. The interpreter executes each command once, except those that were lost
+    with a connection and must not be sent twice.
 
     Args:
         loop: event loop of the connection.
@@ -140,9 +141,9 @@
             return 0.0
         return self.loop.now() - self._unsynchronized_since_ms
 
-    def start_run(self, call_id: str, class_name: str, body: bytes) -> None:
-        """Start the run of a request."""
-        self._send(call_id, protocol.encode_start_run(call_id, class_name, body))
+    def start_run(self, call_id: str, class_name: str, body: bytes, repeatable: bool) -> None:
+        """Start the run of a request; ``repeatable`` says whether the request may run more than once."""
+        self._send(call_id, protocol.encode_start_run(call_id, class_name, body), repeatable)
 
     def deliver_call_response(self, call_id: str, response: bytes) -> None:
         """Deliver the response of a run's dependency call."""
--- a/spindlerelay/node/action_executor.py
+++ b/spindlerelay/node/action_executor.py
@@ -98,7 +98,9 @@
         request.state = RequestState.RUNNING
         request.started_at_ms = now_ms
         context.metrics.forwards += 1
-        context.backends.interpreter.start_run(request.incoming.call_id, spec.name, request.incoming.body)
+        may_repeat = spec.idempotency is api.Idempotency.IDEMPOTENT
+        interpreter = context.backends.interpreter
+        interpreter.start_run(request.incoming.call_id, spec.name, request.incoming.body, may_repeat)
 
     def _block_run(self, request: RequestContext, reason: str, response: FinalResponse | None = None) -> None:
         self._context.loop.warnings.warn("run refused", reason)
--- a/spindlerelay/node/run_tracker.py
+++ b/spindlerelay/node/run_tracker.py
@@ -22,6 +22,8 @@
     "broken_off": api.Outcome.CANCELLED,
     "late": api.Outcome.NEVER_STARTED,
 }
+# From the deadline of a request until the interpreter knows that the request is over.
+REQUEST_OVER_MARGIN_MS = 250.0
 
 
 class RunTracker:
@@ -99,11 +101,28 @@
         context.pending_events.append(api.DependencyCallCompleted(request.id, reply.outcome, duration_ms))
 
     def on_unconfirmed(self, call_id: str) -> None:
-        """Report a run that may still wait for a call whose response was lost with a connection."""
+        """Report a run whose start, or the response of whose call, may be lost with a connection."""
         request = self._context.requests.by_call_id.get(call_id)
-        if request is not None and request.running and request.delivered_call_number:
-            request.unconfirmed = True
-            self._context.pending_events.append(api.RunUnconfirmed(request.id))
+        if request is None or not request.running or request.call_number:
+            return
+        context = self._context
+        request.unconfirmed = True
+        at_call = request.delivered_call_number > 0
+        context.pending_events.append(api.RunUnconfirmed(request.id, at_call))
+        if not at_call:
+            over_at_ms = max(context.loop.now(), request.incoming.due_at_ms) + REQUEST_OVER_MARGIN_MS
+            context.loop.timers.schedule(over_at_ms, lambda: self._end_lost_run(request))
+
+    def _end_lost_run(self, request: RequestContext) -> None:
+        """Have the interpreter report the end of a run that may never have started.
+
+        It starts nothing for a request that is over. Without a report the run would stay in the books.
+        """
+        if request.running and request.unconfirmed:
+            context = self._context
+            incoming = request.incoming
+            class_name = context.settings.classes[incoming.class_index].name
+            context.backends.interpreter.start_run(incoming.call_id, class_name, incoming.body, True)
 
     def _confirm(self, request: RequestContext) -> None:
         """Withdraw the report of a run that has turned out to proceed, if it is still pending.
@@ -112,6 +131,6 @@
         """
         request.unconfirmed = False
         pending_events = self._context.pending_events
-        report = api.RunUnconfirmed(request.id)
+        report = api.RunUnconfirmed(request.id, at_call=request.delivered_call_number > 0)
         if report in pending_events:
             pending_events.remove(report)
--- a/spindlerelay/storage/idempotency_claims.py
+++ b/spindlerelay/storage/idempotency_claims.py
@@ -209,7 +209,7 @@
     try:
         times = ClaimTimes.of(os.fstat(descriptor))
         if times.made_by_earlier_version():
-            kept = times._replace(expires_at_ms=times.window_end_ms + retention_ms)
-            os.utime(descriptor, kept.as_file_times())
+            postponed = times._replace(expires_at_ms=times.window_end_ms + retention_ms)
+            os.utime(descriptor, postponed.as_file_times())
     finally:
         os.close(descriptor)
--- a/spindlerelay/testbed/baseline_policies/fixed_queue.py
+++ b/spindlerelay/testbed/baseline_policies/fixed_queue.py
@@ -107,9 +107,7 @@
                 if remaining_ms > MIN_CALL_MS
                 else api.Fail(request.id)
             )
-        elif isinstance(event, api.DependencyCallCompleted) and event.outcome is api.Outcome.OK:
-            return
-        elif not request.answered:
+        elif _lacks_call(event) and not request.answered:
             if self._settings.classes[request.class_index].partial_response_weight > 0:
                 actions.append(api.SkipDependencyCall(request.id))
             else:
@@ -164,6 +162,13 @@
         self.requests.pop(request.id, None)
 
 
+def _lacks_call(event: api.DependencyCallCompleted | api.RunUnconfirmed) -> bool:
+    """Return whether a run waits at a call whose response it will not get."""
+    if isinstance(event, api.RunUnconfirmed):
+        return event.at_call
+    return event.outcome is not api.Outcome.OK
+
+
 class LossyPolicy:
     """Wrapper of a policy that rejects a random fraction of the requests, with the notice not to retry."""
 
--- a/tests/plants.py
+++ b/tests/plants.py
@@ -76,8 +76,8 @@
 def body_stripped_on_its_way(patch: Patch) -> None:
     right = InterpreterClient.start_run
 
-    def wrong(self: InterpreterClient, call: str, cls: str, body: bytes) -> None:
-        right(self, call, cls, body.rstrip(b"\n"))
+    def wrong(self: InterpreterClient, call: str, cls: str, body: bytes, repeatable: bool) -> None:
+        right(self, call, cls, body.rstrip(b"\n"), repeatable)
 
     patch.setattr(InterpreterClient, right.__name__, wrong)
 
--- a/tests/test_admission_dependency_calls.py
+++ b/tests/test_admission_dependency_calls.py
@@ -144,7 +144,7 @@
     driver.send(api.DependencyCallRequested(1))
     driver.send(api.DependencyCallCompleted(1, api.Outcome.OK))
     assert not of(api.Run, driver.send(api.RequestReceived(2, 0)))
-    actions = driver.send(api.RunUnconfirmed(1))
+    actions = driver.send(api.RunUnconfirmed(1, at_call=True))
     assert [each for each in actions if isinstance(each, api.SkipDependencyCall | api.Fail)] == (
         [decision] if decision else []
     )
@@ -158,7 +158,23 @@
     driver = Driver(settings(PLAIN._replace(calls_dependency=True)))
     driver.send(api.RequestReceived(1, 0))
     driver.send(api.DependencyCallRequested(1))
-    driver.send(api.RunUnconfirmed(1))  # the run waits for its next call
+    driver.send(api.RunUnconfirmed(1, at_call=True))  # the run waits for its next call
     driver.send(api.DependencyCallCompleted(1, api.Outcome.OK), api.CallerDisconnected(1))
-    driver.send(api.RunUnconfirmed(1))
+    driver.send(api.RunUnconfirmed(1, at_call=True))
     assert not driver.all(api.Fail) and not driver.all(api.SkipDependencyCall)
+
+
+@pytest.mark.parametrize(
+    "spec", [KEYED, KEYED._replace(partial_response_weight=0.5)], ids=["whole", "partial"]
+)
+def test_run_whose_start_may_be_lost_keeps_its_time_and_no_place_among_the_running(
+    spec: api.ClassSettings,
+) -> None:
+    driver = Driver(settings(spec, cores=1))
+    driver.send(api.RequestReceived(1, 0))
+    assert not of(api.Run, driver.send(api.RequestReceived(2, 0)))
+    actions = driver.send(api.RunUnconfirmed(1, at_call=False))
+    assert of(api.Run, actions) == [api.Run(2)]
+    assert not driver.all(api.Fail) and not driver.all(api.SkipDependencyCall)
+    driver.to(driver.now + spec.deadline_ms)
+    assert api.Fail(1) in driver.all(api.Fail)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -23,6 +23,7 @@
 from spindlerelay.backends.store_protocol import StoreReply
 from spindlerelay.node.frontend import Failure, FinalResponse, IncomingRequest, Rejection, Success
 from spindlerelay.node.node import Node
+from spindlerelay.node.run_tracker import REQUEST_OVER_MARGIN_MS
 from spindlerelay.transport.backoff import Backoff
 from spindlerelay.transport.event_loop import EventLoop
 from spindlerelay.transport.system import unix_time_ms
@@ -209,14 +210,38 @@
 def test_unconfirmed_response_is_skipped_by_the_number_of_its_call(bench: NodeBench) -> None:
     rid = bench.admit(A)
     bench.execute(api.Run(rid))
-    bench.node.run_tracker.on_unconfirmed(A)  # no response has been sent
     bench.node.run_tracker.on_notice(CallRequested(1, A, b"q"))
     bench.execute(api.CallDependency(rid, 250.0))
     bench.node.run_tracker.on_reply(StoreReply(A, api.Outcome.OK, b"r"))
     bench.node.run_tracker.on_unconfirmed(A)
     bench.execute(api.SkipDependencyCall(rid))
     assert bench.calls_of("skip_call") == [("skip_call", A, 1)]
-    assert bench.controller.events.count(api.RunUnconfirmed(rid)) == 1
+    assert bench.controller.events.count(api.RunUnconfirmed(rid, at_call=True)) == 1
+
+
+def test_run_whose_start_was_lost_is_ended_once_its_request_is_over(bench: NodeBench) -> None:
+    """Nothing ever ended such a run: it held its memory in the books for good."""
+    rid = bench.admit(A, 1, ttl=20.0)
+    bench.execute(api.CacheResult(rid, 9000.0), api.Run(rid))
+    bench.node.run_tracker.on_unconfirmed(A)
+    began_ms = bench.loop.now()
+    while len(bench.calls_of("start_run")) < 2:
+        bench.loop.run_once(bench.node.process_events)
+    assert bench.loop.now() - began_ms > 20.0 and bench.responses == [(A, Failure("Late"))]
+    bench.node.run_tracker.on_notice(RunFinished(1, A, "late", 0.0, b""))
+    assert bench.node.running_calls() == []
+
+
+def test_run_whose_start_proves_read_is_not_started_again(bench: NodeBench) -> None:
+    rid = bench.admit(A, 1, ttl=20.0)
+    bench.execute(api.CacheResult(rid, 9000.0), api.Run(rid))
+    bench.node.run_tracker.on_unconfirmed(A)
+    bench.node.run_tracker.on_notice(CallRequested(1, A, b"q"))
+    end_ms = bench.loop.now() + 20.0 + 2 * REQUEST_OVER_MARGIN_MS
+    while bench.loop.now() < end_ms:
+        bench.loop.call_later(10.0, lambda: None)
+        bench.loop.run_once(bench.node.process_events)
+    assert len(bench.calls_of("start_run")) == 1
 
 
 def test_unconfirmed_response_does_not_skip_the_next_call_that_proves_it(bench: NodeBench) -> None:
@@ -230,7 +255,7 @@
     bench.node.run_tracker.on_unconfirmed(A)
     bench.node.run_tracker.on_notice(CallRequested(2, A, b"q"))
     bench.node.process_events()
-    assert api.RunUnconfirmed(rid) not in bench.controller.events
+    assert api.RunUnconfirmed(rid, at_call=True) not in bench.controller.events
     assert api.DependencyCallRequested(rid) in bench.controller.events[-1:]
 
 
--- a/tests/test_interpreter_client.py
+++ b/tests/test_interpreter_client.py
@@ -168,6 +168,35 @@
     assert bench.commands() == [] and bench.unconfirmed == [A]
 
 
+@pytest.mark.parametrize("repeatable", [False, True])
+def test_start_of_a_run_is_sent_again_only_if_it_may_run_twice(bench: ClientBench, repeatable: bool) -> None:
+    """An order that was read, and ended after the replay, would have been run again."""
+    bench.client.start_run(A, "order", b"body", repeatable)
+    assert bench.commands() == [b"APPLY " + A.encode()]
+    bench.peer.close()
+    bench.accept()
+    bench.replay()
+    assert bench.commands() == ([b"APPLY " + A.encode()] if repeatable else [])
+    assert bench.unconfirmed == ([] if repeatable else [A])
+
+
+def test_order_that_ends_after_the_replay_is_not_run_again_and_answered(tmp_path: Path) -> None:
+    """The order was sent again before its end had arrived, and the interpreter ran it twice."""
+    with Program(tmp_path) as node:
+        node.interpreter.expect("CONNECT", "0")
+        balancer = node.balancer()
+        asked = balancer.send_request(A, "order")
+        node.interpreter.expect("APPLY", A)
+        node.interpreter.cut()
+        node.interpreter.expect("CONNECT", "0")
+        while not node.interpreter.last_gauges_tag.startswith("t2"):  # the end of the replay
+            time.sleep(0.01)
+        node.interpreter.value(A, b"receipt")
+        assert balancer.response(asked) == b"receipt"
+        node.interpreter.cut()
+        assert node.interpreter.expect("CONNECT")[1] == b"1"  # no APPLY before it
+
+
 @pytest.mark.parametrize(("cls", "skipped"), [("preview", True), ("order", False)])
 def test_run_whose_response_may_be_lost_goes_on_without_it_where_the_settings_allow(
     tmp_path: Path, cls: str, skipped: bool
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -67,7 +67,7 @@
 
 @pytest.mark.parametrize(
     "end",
-    [api.DependencyCallCompleted(1, api.Outcome.ERROR), api.RunUnconfirmed(1)],
+    [api.DependencyCallCompleted(1, api.Outcome.ERROR), api.RunUnconfirmed(1, at_call=True)],
     ids=["failed", "unconfirmed"],
 )
 def test_call_gets_the_remaining_time_and_its_failure_fails_the_request(end: api.Event) -> None:
