Simulation: count a run as forgotten only once its unconfirmed start is settled

In virtual time, so the same on every machine.

Trace: an order is started at 0 ms on a half-open link and lost; at 146 ms the new link's replay leaves it unconfirmed, due in 4,648 ms; at 5,045 ms (its deadline and 250 ms) its start is sent once more; at 5,046 ms VALUE 'late' ends it. The check calls a run forgotten that is without its interpreter for 1.5 s, since it "will never end".

Change: the age of such a run counts from the time at which its start is settled, the request's deadline and 250 ms.

--- a/spindlerelay/testbed/simulation/fault_player.py
+++ b/spindlerelay/testbed/simulation/fault_player.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable
 from functools import partial
 
+from spindlerelay.node.node import Node
+from spindlerelay.node.run_tracker import REQUEST_OVER_MARGIN_MS
 from spindlerelay.testbed.cluster.node_host import NodeHost
 from spindlerelay.testbed.cluster.spec import TICK_MS
 from spindlerelay.testbed.fault_injection.fault_schedule import Fault
@@ -84,8 +86,9 @@
             if self._link_faults.interpreter_link_doubtful(name, at_ms):
                 continue
             interpreter_runs = host.machine.run_ids()
-            for call in processes[-1].service.node.running_calls():
-                if call in interpreter_runs:
+            node = processes[-1].service.node
+            for call in node.running_calls():
+                if call in interpreter_runs or _is_unconfirmed(node, call):
                     continue
                 since_ms = self._orphaned_since_ms.get(call, at_ms)
                 orphaned_since_ms[call] = since_ms
@@ -227,6 +230,17 @@
         host.machine.slowdown = 1.0
 
 
+def _is_unconfirmed(node: Node, call_id: str) -> bool:
+    """Return whether a node may still wait to learn whether a run has started.
+
+    Whether the start of an order was lost with a connection is settled once its request is over.
+    """
+    context = node.context
+    request = context.requests.by_call_id[call_id]
+    settled_at_ms = request.incoming.due_at_ms + REQUEST_OVER_MARGIN_MS
+    return request.unconfirmed and context.loop.now() <= settled_at_ms
+
+
 _BY_KIND: dict[str, Callable[[FaultPlayer, float, NodeHost, float], None]] = {
     "kill": FaultPlayer._kill,
     "replace": FaultPlayer._replace,
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from spindlerelay.node.run_tracker import RunTracker
 from spindlerelay.storage.persistence import PersistenceFeature
 from spindlerelay.testbed.fault_injection.fault_schedule import Fault
 from spindlerelay.testbed.models.disk import SimulatedDisk
@@ -275,6 +276,17 @@
     assert any(reached.startswith(f"{kind}/") for reached in outcome.reached)
 
 
+def test_run_that_was_lost_with_a_connection_and_never_ended_is_found(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Such a run keeps its time, so the search for forgotten runs has to wait for that, and no longer."""
+    monkeypatch.setattr(RunTracker, "_end_lost_run", lambda *_: None)
+    pairs = fault_schedule.FAULT_STATE_PAIRS
+    seed = next(seed for seed in range(500) if pairs[seed % len(pairs)] == ("half_open", "well"))
+    outcome = scenario_player.play(fault_schedule.draw(seed))
+    assert [violation.split(":")[0] for violation in outcome.violations] == ["forgotten"]
+
+
 def test_order_runs_again_after_loss_of_power_only_without_its_record(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
