--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # review/standins_2, which need only what the node's own .venv holds: this checks that they can be imported.
 cd "$(dirname "$0")/.." || exit 1
 [ -x .venv/bin/python ] || { echo "run the build of deploy/balancer.toml first" >&2; exit 1; }
-cd review && exec ../.venv/bin/python -B -c "import standins_2.peers, standins_2.simulator"
+cd review && exec ../.venv/bin/python -B -c "import standins_2.peers, standins_2.simulator, standins_2.network"
