--- a/review/standins_2/network.py
+++ b/review/standins_2/network.py
@@ -12,6 +12,8 @@
 
 from standins_2.peers import Record, Request
 
+PIECES = 15  # of a request that is written slowly
+
 
 class Link:
     """A lasting connection of one balancer, which carries up to 32 open requests at once."""
@@ -33,9 +35,18 @@
         self._task = asyncio.create_task(self._read(reader))
 
     async def send(
-        self, class_name: str, ttl_ms: int, key: str = "", body: bytes = b"page", again: bool = False
+        self,
+        class_name: str,
+        ttl_ms: int,
+        key: str = "",
+        body: bytes = b"page",
+        again: bool = False,
+        seconds: float = 0.0,
     ) -> Request:
-        """Write a request; its answer is read in the background. A goaway is followed by a new connection."""
+        """Write a request, in pieces over so many seconds; its answer is read in the background.
+
+        A goaway is followed by a new connection.
+        """
         if self._writer is None or self.leaving or len(self.open) >= 32 or self._writer.is_closing():
             self.leaving = False
             await self.connect()
@@ -59,13 +70,25 @@
         self._last += 1
         self.open[self._last] = request
         self.requests[request.call] = request
-        self._writer.write(msgpack.packb([0, self._last, class_name, [fields, body]]))
+        data = msgpack.packb([0, self._last, class_name, [fields, body]])
+        if seconds:
+            await self._write_slowly(self._writer, data, seconds)
+        else:
+            self._writer.write(data)
         request.written_at = time.time()
         self.record.add(
             "send", balancer=self.number, call=request.call, cls=class_name, ttl=ttl_ms, key=key or "-"
         )
         return request
 
+    async def _write_slowly(self, writer: asyncio.StreamWriter, data: bytes, seconds: float) -> None:
+        size = len(data) // PIECES + 1
+        pieces = [data[start : start + size] for start in range(0, len(data), size)]
+        for index, piece in enumerate(pieces):
+            if index:
+                await asyncio.sleep(seconds / (len(pieces) - 1))
+            writer.write(piece)
+
     async def _read(self, reader: asyncio.StreamReader) -> None:
         unpacker = msgpack.Unpacker(raw=False)
         writer = self._writer
@@ -78,6 +101,12 @@
                     writer.close()
         if writer is not None:
             writer.close()
+        if writer is self._writer:
+            self.leaving = True
+            for request in self.open.values():
+                request.ended = "connection ended"
+                self.record.add("no-answer", call=request.call)
+            self.open.clear()
 
     def _take(self, message: list[Any], writer: asyncio.StreamWriter | None) -> None:
         if message[0] == 2 and message[1] == "goaway" and writer is self._writer:
