Balancers: wait for the rest of a request while it can still be answered in time

Cause: half a request was dropped, and its connection ended, 1.5 s after the last byte, whoever had sent it. That bound is for clients that send half a request and stop. The other guess, the bound on the whole request, allows the longest deadline and one second; a scripted balancer that stalls for 3 s on the loop's own clock was dropped all the same. The log line now names the bound.

Fix: on a connection that has carried a valid request or a health check, only the longest deadline bounds half a request: past it no answer is in time. Clients without one keep 1.5 s, and so their end within 3 s of connecting. While the connection table is nearly full, connections that stalled for 1.5 s are ended, longest first and no more than needed.

The tests of the partition (serving and in a handover) failed before. The bounds for bad clients and for half a request for ever are tested as well.

--- a/spindlerelay/frontends/balancer_connection.py
+++ b/spindlerelay/frontends/balancer_connection.py
@@ -23,7 +23,8 @@
 WRITE_STALL_TIMEOUT_MS = 15000.0  # a peer that takes no byte of a response for this time is gone
 CLOSE_TIMEOUT_MS = 5000.0  # time for the peer to close its side after the node has closed its own
 FIRST_REQUEST_TIMEOUT_MS = 1500.0  # a client without a whole request in this time is not a balancer
-PARTIAL_REQUEST_TIMEOUT_MS = 1500.0  # longest time between two bytes of one request
+# Longest time between two bytes of one request, until a connection has carried a valid request.
+PARTIAL_REQUEST_TIMEOUT_MS = 1500.0
 # Replaces the three timeouts above while the connection table is nearly full.
 NEAR_CAPACITY_TIMEOUT_MS = 100.0
 
@@ -89,6 +90,7 @@
         self._unsent_bytes = 0
         self._partial_since_ms = 0.0  # when the partly read request began, 0 if there is none
         self._has_received_request = False  # whether a whole request has been read
+        self._has_valid_request = False  # whether one of them was valid, or a health check
         self._bad_requests = 0
         self.connection = Connection(
             server.loop, sock, self._on_data, self._on_close, on_peer_end=self._on_peer_end
@@ -157,6 +159,7 @@
         self._has_received_request = True
         node = self._server.node
         if call.method == msgpack_rpc_codec.METHOD_HEALTH_CHECK:
+            self._has_valid_request = True
             self.connection.write(
                 msgpack_rpc_codec.encode_health(call.msgid, node.healthy, node.published_load)
             )
@@ -171,6 +174,7 @@
                 msgpack_rpc_codec.encode_response(call.msgid, response, node.published_load)
             )
             return
+        self._has_valid_request = True
         self.open_requests[call.msgid] = request
         self._server.request_opened(self, call.msgid, request)
 
@@ -208,11 +212,27 @@
         self._close_if_idle()
 
     def idle_ms(self, now_ms: float) -> float:
-        """Return how long the connection has been idle, 0 if it has open requests or has got a goaway."""
-        if self.open_requests or self._state is not ConnectionState.ACCEPTING:
+        """Return how long the connection has been idle, 0 if it is in use or has got a goaway."""
+        if self.open_requests or self._partial_since_ms or self._state is not ConnectionState.ACCEPTING:
             return 0.0
         return now_ms - self.last_used_at_ms
 
+    @property
+    def closing(self) -> bool:
+        """Whether output has ended, so that the connection is about to close."""
+        return self._state is ConnectionState.CLOSING
+
+    def stalled_ms(self, now_ms: float) -> float:
+        """Return for how long the rest of a request has been missing, 0 if none is, or others are open."""
+        if self.open_requests or not self._partial_since_ms:
+            return 0.0
+        return now_ms - self.last_used_at_ms
+
+    def end_partial_request(self, reason: str) -> None:
+        """Drop a request whose rest is missing, and end the output."""
+        self._warn(f"incomplete request timed out: {reason}")
+        self.close_idle()
+
     def has_bytes_in_flight(self) -> bool:
         """Return whether output is unsent, or a request is partly read."""
         return bool(self.connection.output_buffer) or self._partial_since_ms > 0.0
@@ -284,10 +304,11 @@
             self.go_away()
 
     def _sweep_partial_request(self, now_ms: float, near_capacity: bool) -> None:
-        # A slow writer is tolerated while bytes keep arriving, up to the longest deadline of any class.
-        uses_short_timeout = near_capacity and not self._has_received_request
-        stall_timeout_ms = NEAR_CAPACITY_TIMEOUT_MS if uses_short_timeout else PARTIAL_REQUEST_TIMEOUT_MS
-        stalled = now_ms - self.last_used_at_ms > stall_timeout_ms
-        if stalled or now_ms - self._partial_since_ms > self._server.max_request_ms:
-            self._warn("incomplete request timed out")
-            self.close_idle()
+        if now_ms - self._partial_since_ms > self._server.max_request_ms:
+            self.end_partial_request("begun longer ago than the longest deadline")
+            return
+        # The network of a balancer may hold back the rest, which can still be answered in time. A client that
+        # has sent no valid request yet may send none at all.
+        stall_timeout_ms = NEAR_CAPACITY_TIMEOUT_MS if near_capacity else PARTIAL_REQUEST_TIMEOUT_MS
+        if not self._has_valid_request and self.stalled_ms(now_ms) > stall_timeout_ms:
+            self.end_partial_request("the first request on its connection has stalled")
--- a/spindlerelay/frontends/balancer_server.py
+++ b/spindlerelay/frontends/balancer_server.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from spindlerelay import api
-from spindlerelay.frontends.balancer_connection import BalancerConnection
+from spindlerelay.frontends.balancer_connection import PARTIAL_REQUEST_TIMEOUT_MS, BalancerConnection
 from spindlerelay.frontends.msgpack_rpc_codec import RequestSchema
 from spindlerelay.node.frontend import FinalResponse, IncomingRequest, RequestReceiver
 from spindlerelay.transport.event_loop import EventLoop
@@ -89,19 +89,25 @@
         self.loop.call_later(SWEEP_INTERVAL_MS, self._sweep)
         now_ms = self.loop.now()
         # A full table accepts no connections. Well before it is full, connections that sent no request are
-        # closed, then idle connections get a goaway.
+        # closed, then idle connections get a goaway, then stalled ones are closed.
         excess_connections = len(self.connections) - NEAR_CAPACITY_FRACTION * self._max_connections
         for connection in list(self.connections):
             connection.sweep(now_ms, self._idle_timeout_ms, excess_connections > 0)
         if excess_connections > 0:
-            idle_connections = [
-                candidate
-                for candidate in self.connections
-                if candidate.idle_ms(now_ms) > NEAR_CAPACITY_IDLE_TIMEOUT_MS
-            ]
-            idle_connections.sort(key=lambda candidate: candidate.last_used_at_ms)
-            for connection in idle_connections[: int(excess_connections) + 1]:
-                connection.go_away()
+            self._free_connections(now_ms, int(excess_connections) + 1)
+
+    def _free_connections(self, now_ms: float, count: int) -> None:
+        """Free up to ``count`` connections: idle ones, then those with a request whose rest is missing."""
+        count -= sum(connection.closing for connection in self.connections)
+        if count <= 0:
+            return
+        by_last_use = sorted(self.connections, key=lambda candidate: candidate.last_used_at_ms)
+        idle = [each for each in by_last_use if each.idle_ms(now_ms) > NEAR_CAPACITY_IDLE_TIMEOUT_MS]
+        for connection in idle[:count]:
+            connection.go_away()
+        stalled = [each for each in by_last_use if each.stalled_ms(now_ms) > PARTIAL_REQUEST_TIMEOUT_MS]
+        for connection in stalled[: max(0, count - len(idle))]:
+            connection.end_partial_request("it has stalled while the connection table is nearly full")
 
     def respond(self, request: IncomingRequest, response: FinalResponse) -> None:
         """Send the final response, unless the balancer's connection has closed."""
--- a/tests/node_harness.py
+++ b/tests/node_harness.py
@@ -106,6 +106,22 @@
         self.run_until(lambda: made.is_accepted_by(self))
         return made
 
+    def served_client(self) -> NonBlockingBalancer:
+        """Return a client whose connection has carried a request."""
+        made = self.client()
+        made.send(made.encode_request())
+        self.run_until(lambda: made.responded_ids() == [1])
+        return made
+
+    def partial_requests(self) -> bool:
+        """Return whether a request is partly read."""
+        return any(link._decoder.partial_frame for link in self.balancer_server.connections)
+
+    def run_for_clock_ms(self, span_ms: float) -> None:
+        """Turn the loop until its stepped clock has moved so far."""
+        until_ms = self.stepped_clock_ms + span_ms
+        self.run_until(lambda: self.stepped_clock_ms >= until_ms)
+
     def finish_run(self, call: str, result: bytes) -> None:
         self.node.run_tracker.on_notice(RunFinished(1, call, "fine", 1.0, result))
 
