Golden records: the simulator's notice to drain has no elapsed time on its wire

The wire and the record are unchanged; the row now has the fields that the simulator sends, as long as the elapsed time is 0.

--- a/tests/golden/names.py
+++ b/tests/golden/names.py
@@ -251,6 +251,13 @@
     return list(value) if isinstance(value, tuple) else value
 
 
+def _wire_fields(event: api.Event) -> tuple[Any, ...]:
+    """The fields that the simulator sends: its notice to drain is never late, so it has no elapsed time."""
+    if isinstance(event, api.DrainStarted) and event.elapsed_ms == 0.0:
+        return (event.remaining_ms,)
+    return event
+
+
 def simulator_accepts(frame: bytes) -> list[Any]:
     """A batch of the simulator, as rows; a text where it is malformed."""
     stored = {kind: name for name, kind in EVENTS.items()}
@@ -270,7 +277,7 @@
         else:
             fields = [
                 outcomes.get(field, field) if isinstance(field, api.Outcome) else _plain(field)
-                for field in each
+                for field in _wire_fields(each)
             ]
             rows.append([instance, stored[type(each)], *fields])
     return rows
