Balancers: after a goaway, wait for the balancer to close a connection that it has used

Callers saw: a request got no answer if a partition held it back while its resting connection got a goaway.

Cause: the node ended the connection 0.1 s after the goaway, whether or not the balancer had read it, and dropped what still came. Requests that cross a goaway by more than 50 ms are not sent again.

Fix: a connection that has carried a valid request is ended at the longest deadline after the goaway or its last use, unless its balancer closes it first, as it does once it has read the goaway. Other connections, and all near the limit of the table, keep 0.1 s.

The test of the partition failed before; the bound far from and near the limit is tested, too. The two tests that send a request as a connection is ended take the time of that end from the code.

--- a/spindlerelay/frontends/balancer_connection.py
+++ b/spindlerelay/frontends/balancer_connection.py
@@ -296,13 +296,22 @@
         ):
             self.close_idle()
         elif self._state is ConnectionState.GOING_AWAY:
-            # Closing at once would lose a request that crossed the goaway.
             idle_ms = now_ms - max(self._state_since_ms, self.last_used_at_ms)
-            if idle_ms > 2 * GOAWAY_CROSSING_MS and not self._unsent_bytes:
+            if idle_ms > self._goaway_timeout_ms(near_capacity) and not self._unsent_bytes:
                 self.close_idle()
         elif now_ms - self.last_used_at_ms >= idle_timeout_ms:
             self.go_away()
 
+    def _goaway_timeout_ms(self, near_capacity: bool) -> float:
+        """Return the time after a goaway for which an idle connection waits for the peer to close it.
+
+        A balancer closes it once it has read the goaway. Until then it may send requests, which its network
+        may hold back together with the goaway.
+        """
+        if near_capacity or not self._has_valid_request:
+            return 2 * GOAWAY_CROSSING_MS
+        return self._server.max_request_ms
+
     def _sweep_partial_request(self, now_ms: float, near_capacity: bool) -> None:
         if now_ms - self._partial_since_ms > self._server.max_request_ms:
             self.end_partial_request("begun longer ago than the longest deadline")
--- a/tests/node_harness.py
+++ b/tests/node_harness.py
@@ -17,7 +17,6 @@
 
 from spindlerelay import api
 from spindlerelay.backends.interpreter_protocol import InterpreterStarted, RunFinished
-from spindlerelay.frontends import balancer_connection
 from spindlerelay.frontends.balancer_server import BalancerServer
 from spindlerelay.node.node import Node
 from spindlerelay.transport.event_loop import EventLoop
@@ -232,7 +231,7 @@
     sweep, todo = link.sweep, [data]
 
     def late(now_ms: float, idle_timeout_ms: float, near_capacity: bool) -> None:
-        if todo and now_ms - link.last_used_at_ms > 2 * balancer_connection.GOAWAY_CROSSING_MS:
+        if todo and now_ms - link.last_used_at_ms > link._goaway_timeout_ms(near_capacity):
             client.send(todo.pop())
         sweep(now_ms, idle_timeout_ms, near_capacity)
 
--- a/tests/test_balancer_connections.py
+++ b/tests/test_balancer_connections.py
@@ -9,7 +9,7 @@
 import pytest
 
 from spindlerelay import api
-from spindlerelay.frontends import balancer_connection
+from spindlerelay.frontends import balancer_connection, balancer_server
 from spindlerelay.frontends.balancer_server import SWEEP_INTERVAL_MS
 from tests.node_harness import (
     NodeHarness,
@@ -28,9 +28,8 @@
 
 def test_a_request_that_comes_as_a_connection_is_ended_is_heard_first(harness: NodeHarness) -> None:
     """A connection that was asked to go was closed over it."""
-    client = harness.client()
-    client.send(client.encode_request())
-    assert harness.run_until(lambda: client.responded_ids() == [1])
+    harness.balancer_server.max_request_ms = 100.0
+    client = harness.served_client()
     next(iter(harness.balancer_server.connections)).go_away()
     send_during_close(harness, client, client.encode_request())
     assert harness.run_until(lambda: client.responded_ids() == [1, 2]) and not client.closed_by
@@ -145,6 +144,34 @@
     assert harness.run_until(lambda: client.responded_ids() == [1, 2])
 
 
+def test_a_request_that_a_partition_holds_back_as_its_connection_gets_a_goaway_is_answered(
+    harness: NodeHarness,
+) -> None:
+    """The connection was ended 0.1 s after the goaway, which the balancer had not read."""
+    client = harness.served_client()
+    harness.step_clock()
+    harness.balancer_server.set_idle_timeout(100.0)
+    assert harness.run_until(lambda: client.receive()[-1] == [2, "goaway", []])
+    harness.run_for_clock_ms(PARTITION_MS)
+    client.send(client.encode_request())
+    assert harness.run_until(lambda: client.responded_ids() == [1, 2])
+
+
+@pytest.mark.parametrize(
+    ("count", "after_ms"), [(1, 7000.0), (31, 100.0)], ids=["after the longest deadline", "near capacity"]
+)
+def test_a_connection_that_its_balancer_keeps_after_a_goaway_is_ended(count: int, after_ms: float) -> None:
+    harness = NodeHarness(sockets=balancer_server.RESERVED_SOCKETS + 32)
+    crowd = [harness.served_client() for _ in range(count)]
+    harness.step_clock()
+    for link in harness.balancer_server.connections:
+        link.go_away()
+    harness.run_for_clock_ms(after_ms - SWEEP_INTERVAL_MS)
+    assert not any(client.is_closed() for client in crowd)
+    harness.run_for_clock_ms(3 * SWEEP_INTERVAL_MS)
+    assert harness.run_until(lambda: all(client.is_closed() for client in crowd))
+
+
 def test_half_a_request_is_dropped_once_no_deadline_can_still_be_ahead(harness: NodeHarness) -> None:
     client = harness.served_client()
     client.send(client.encode_request()[:30])
