Admission: reject a repeat only if its original is known to have ended without a run

Cause: ids of expired entries were kept for 6 s, "no request waits longer to be read". Past that, an original that was not known counted as one that never ran. A scripted stream tells this from a repeat that comes without its original: 600 ms past the end it failed, 20 s past it it was rejected.

Fix: the controller keeps the ids of the last 1,024 requests with an effect that ended without a run, and rejects a repeat of these alone. Any other repeat of an unknown original fails, however late it is read; forgetting an id can no more lead to a wrong rejection.

The test's case of 20 s failed before; the bound on the ids is tested, too.

--- a/spindlerelay/admission/controller.py
+++ b/spindlerelay/admission/controller.py
@@ -192,12 +192,12 @@
         request.over_quota = self.quotas.charge(request.tenant_index, original_is_known)
         is_late = request.useful_until_ms <= self._now_ms or request.arrived_ms > self._admission_end_ms
         is_keyed = statistics.spec.idempotency is api.Idempotency.KEYED
-        original_is_lost = event.original_id and not request.idempotent
+        repeats_effect = event.original_id and not request.idempotent
         if event.original_id and original_is_known and not (request.idempotent and is_late):
             self._coalesce(request, self.requests.by_id.get(event.original_id))
-        elif self.memory.has_expired(event.original_id):
+        elif repeats_effect and not self.requests.has_ended_unrun(event.original_id):
             self._fail(request)  # a rejection would say that the request never ran
-        elif is_late or original_is_lost or (is_keyed and not self._cache_keyed(request, statistics.spec)):
+        elif is_late or repeats_effect or (is_keyed and not self._cache_keyed(request, statistics.spec)):
             self._reject(request)
         else:
             statistics.queue.append(request)
--- a/spindlerelay/admission/memory_budget.py
+++ b/spindlerelay/admission/memory_budget.py
@@ -14,7 +14,6 @@
 QUEUE_FRACTION = (1.0 + MEMORY_FRACTION) / 2
 # Above this fraction of the memory, each read is run and its result is not cached for other reads.
 READ_CACHE_FRACTION = MEMORY_FRACTION / 2
-MAX_READ_DELAY_MS = 6000.0  # no request waits longer to be read
 
 
 class MemoryBudget:
@@ -26,9 +25,6 @@
         self.running_kb = 0.0
         self.idempotency_expiry_ms: dict[int, float] = {}  # keyed requests, by request id
         self.read_expiry_ms: dict[int, float] = {}  # reads of a resource, by request id
-        # Expiry times of entries of keyed requests that have expired, by request id. They take no memory of
-        # the budget. Repeats that arrived before the expiry may still have to be read.
-        self._expired_ms: dict[int, float] = {}
 
     def fits(self, additional_kb: float, fraction: float = MEMORY_FRACTION) -> bool:
         """Return whether ``additional_kb`` more memory stays within ``fraction`` of the budget."""
@@ -44,10 +40,6 @@
         """Return whether the result of a request is cached, or will be cached once the request has ended."""
         return request_id in self.idempotency_expiry_ms or request_id in self.read_expiry_ms
 
-    def has_expired(self, request_id: int) -> bool:
-        """Return whether the entry of a keyed request has expired while its repeats may still be read."""
-        return request_id in self._expired_ms
-
     def evict(self, request_id: int) -> bool:
         """Remove the cache entry of a request and return whether there was one."""
         return (
@@ -65,12 +57,7 @@
             request_id for request_id, expiry_ms in self.idempotency_expiry_ms.items() if expiry_ms <= now_ms
         ]
         for request_id in expired_keyed_ids:
-            self._expired_ms[request_id] = self.idempotency_expiry_ms.pop(request_id)
-        self._expired_ms = {
-            request_id: expiry_ms
-            for request_id, expiry_ms in self._expired_ms.items()
-            if expiry_ms > now_ms - MAX_READ_DELAY_MS
-        }
+            del self.idempotency_expiry_ms[request_id]
         expired_ids = [
             request_id for request_id, expiry_ms in self.read_expiry_ms.items() if expiry_ms <= now_ms
         ]
--- a/spindlerelay/admission/request_state.py
+++ b/spindlerelay/admission/request_state.py
@@ -7,12 +7,15 @@
 from __future__ import annotations
 
 import heapq
+from collections import OrderedDict
 from dataclasses import dataclass
 from enum import IntEnum
 from operator import attrgetter
 
 from spindlerelay import api
 
+MAX_ENDED_UNRUN = 1024  # most ids kept of requests that ended without a run
+
 
 class Phase(IntEnum):
     """Phase of an open request. The values are indices of ``RequestTable.phase_counts``."""
@@ -96,7 +99,11 @@
 
 
 class RequestTable:
-    """The open requests, the number of requests in each phase and the expiry times."""
+    """The open requests, the number of requests in each phase and the expiry times.
+
+    Also owns the ids of the last requests with an effect that ended without a run: only for them is it known
+    that a repeat may be rejected.
+    """
 
     def __init__(self) -> None:
         self.by_id: dict[int, RequestState] = {}
@@ -104,6 +111,7 @@
         self.phase_counts = [0] * len(Phase)  # number of requests, by phase
         # Heap of expiry times and request ids. Entries of requests that are over stay until they expire.
         self._expirations: list[tuple[float, int]] = []
+        self._ended_unrun: OrderedDict[int, None] = OrderedDict()
 
     def add(self, request: RequestState) -> None:
         """Add a request that has just been read."""
@@ -136,4 +144,16 @@
         """Remove a request that is over and return whether its run had started."""
         del self.by_id[request.id]
         self.phase_counts[request.phase] -= 1
-        return self.started.pop(request.id, None) is not None
+        has_started = self.started.pop(request.id, None) is not None
+        if request.phase is Phase.QUEUED and not has_started and not request.idempotent:
+            self._ended_unrun[request.id] = None
+            if len(self._ended_unrun) > MAX_ENDED_UNRUN:
+                self._ended_unrun.popitem(last=False)
+        return has_started
+
+    def has_ended_unrun(self, request_id: int) -> bool:
+        """Return whether a request is known to be over without a run.
+
+        A request that ended long ago is forgotten, so the answer False does not say that it ran.
+        """
+        return request_id in self._ended_unrun
--- a/tests/test_admission_result_cache.py
+++ b/tests/test_admission_result_cache.py
@@ -5,6 +5,7 @@
 import pytest
 
 from spindlerelay import api
+from spindlerelay.admission import request_state
 from tests.driver import KEYED, PLAIN, Driver, of, settings
 
 
@@ -86,13 +87,14 @@
     assert len(refused) > 10 and not refused & {3, 90, 91}
 
 
-@pytest.mark.parametrize("read_delay_ms", [100.0, 600.0])
+@pytest.mark.parametrize("read_delay_ms", [100.0, 600.0, 20_000.0])
 def test_repeat_from_within_the_window_is_not_rejected_when_read_after_its_end(read_delay_ms: float) -> None:
-    """The entry ran out between arrival and reading, and the repeat was rejected though it had run."""
+    """The repeat was rejected though it had run, first at once, then if it was read 6 s after the end."""
     driver = Driver(settings(KEYED))
     assert api.Run(1) in driver.send(api.RequestReceived(1, 0))
     driver.send(api.RunCompleted(1, api.Outcome.OK))
-    driver.to(KEYED.idempotency_window_ms + 400.0)  # the entry has expired
+    driver.to(KEYED.idempotency_window_ms - 100.0 + read_delay_ms)
+    driver.to(max(driver.now, KEYED.idempotency_window_ms + 400.0))  # the entry has expired
     actions = driver.send(api.RequestReceived(2, 0, read_delay_ms=read_delay_ms, original_id=1))
     assert of(api.Fail, actions) == [api.Fail(2)]
     assert not of(api.Reject, actions) and not of(api.Run, actions)
@@ -103,3 +105,17 @@
     driver = Driver(settings(KEYED, memory_kb=1.0, idempotency_entry_kb=20.0))
     actions = driver.send(api.RequestReceived(1, 0), api.RequestReceived(2, 0, original_id=1))
     assert [action.id for action in of(api.Reject, actions)] == [1, 2]
+
+
+def test_ids_of_rejected_requests_are_bounded_and_a_forgotten_one_counts_as_run(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(request_state, "MAX_ENDED_UNRUN", 10)
+    driver = Driver(settings(KEYED, memory_kb=1.0, idempotency_entry_kb=20.0))
+    driver.send(*(api.RequestReceived(number, 0) for number in range(1, 101)))
+    assert len(driver.controller.requests._ended_unrun) == 10
+    actions = driver.send(
+        api.RequestReceived(101, 0, original_id=90), api.RequestReceived(102, 0, original_id=92)
+    )
+    assert of(api.Fail, actions) == [api.Fail(101)]
+    assert [action.id for action in of(api.Reject, actions)] == [102]
