Idempotency: keep the record of a run while a later attempt has its key

Cause: the table took it that no attempt of a window is read after one received past it, nor 6 s after its end. The record of the run was removed at the first later attempt. One process has no claims, so a claim that ends early is not the cause; the three attempts in the order of the case give the second run each time.

Fix: the record of a run stays beside that of a later attempt, and answers those received in its window. Records are kept for 6 s and the longest deadline, as claims are. An attempt that is decided later than that after its receipt is neither run nor rejected, but fails.

--- a/spindlerelay/node/action_executor.py
+++ b/spindlerelay/node/action_executor.py
@@ -85,11 +85,11 @@
         if past_cutoff or self._shutdown.closing:
             self._block_run(request, "request received after the drain grace")
             return
-        if not context.duplicates.may_run(request):
+        now_ms = context.loop.now()
+        if not context.duplicates.may_run(request, now_ms):
             self._block_run(request, "idempotency key not reserved for this attempt, or already run")
             return
         window_end_ms = received_at_ms + spec.idempotency_window_ms + SOCKET_TOLERANCE_MS + TICK_MS
-        now_ms = context.loop.now()
         if not context.duplicates.claim(request, now_ms, window_end_ms):
             # The other process may have run it, and a rejection would state that the request never ran.
             self._block_run(request, "idempotency key claimed by another process of this node", Failure())
@@ -105,7 +105,7 @@
     def _block_run(self, request: RequestContext, reason: str, response: FinalResponse | None = None) -> None:
         self._context.loop.warnings.warn("run refused", reason)
         if response is None:
-            may_have_run = self._context.duplicates.may_have_run(request)
+            may_have_run = self._may_have_run(request)
             response = Failure() if may_have_run else Rejection()
         self._responder.give_up(request, response)
         self._context.pending_events.append(api.RunCompleted(request.id, api.Outcome.NEVER_STARTED))
@@ -119,17 +119,18 @@
         """Return a rejection only if the request has never run, as it may then be sent to another node."""
         if recorded := self._recorded_response(request):
             return recorded
-        if request.running or self._context.duplicates.may_have_run(request):
+        if request.running or self._may_have_run(request):
             return Failure()
         if request.read_at_ms < request.incoming.due_at_ms and self._shutdown.phase is Phase.SERVING:
             self._context.rejected_count += 1
         return Rejection(action.retry_after_ms, action.do_not_retry)
 
+    def _may_have_run(self, request: RequestContext) -> bool:
+        return self._context.duplicates.may_have_run(request, self._context.loop.now())
+
     def _recorded_response(self, request: RequestContext) -> FinalResponse | None:
         """Return the response that an earlier run of a keyed request allows, None if no run is recorded."""
-        if request.running or not isinstance(request.key, str):
-            return None
-        record = self._context.duplicates.table.find_run(request.key)
+        record = None if request.running else self._context.duplicates.find_run(request)
         if record is None:
             return None
         if record.result is not None:
--- a/spindlerelay/node/duplicate_run_guard.py
+++ b/spindlerelay/node/duplicate_run_guard.py
@@ -7,11 +7,13 @@
 from __future__ import annotations
 
 from spindlerelay import api
-from spindlerelay.node.idempotency import MAX_READ_DELAY_MS, IdempotencyTable
+from spindlerelay.node.idempotency import IdempotencyRecord, IdempotencyTable
 from spindlerelay.node.protocols import Persistence
 from spindlerelay.node.request import RequestContext
 from spindlerelay.storage.idempotency_claims import ClaimTimes, IdempotencyClaims
 
+RETENTION_MARGIN_MS = 6000.0  # records outlast the last attempt that can be answered in time by so much
+
 
 class DuplicateRunGuard:
     """Records of keyed requests that ran in any process of this node."""
@@ -20,30 +22,45 @@
         self.table = IdempotencyTable(memory_mb)
         self.claims: IdempotencyClaims | None = None  # shared with the other process during a handover
         self.persistence: Persistence | None = None
-        self._claim_retention_ms = 0.0
+        self._retention_ms = 0.0
         self.apply_settings(settings)
 
     def apply_settings(self, settings: api.Settings) -> None:
-        """Keep claims for as long after their window as an attempt received within it may wait to run.
+        """Keep records and claims for longer after their window than an attempt in it may wait to run.
 
         Such an attempt may be read late, and is then held until its deadline at most.
         """
         longest_deadline_ms = max(spec.deadline_ms for spec in settings.classes)
-        self._claim_retention_ms = MAX_READ_DELAY_MS + longest_deadline_ms
+        self._retention_ms = RETENTION_MARGIN_MS + longest_deadline_ms
+        self.table.retention_ms = self._retention_ms
+
+    def find_run(self, request: RequestContext) -> IdempotencyRecord | None:
+        """Return the record of the run in this process that answers this attempt, None if there is none."""
+        if not isinstance(request.key, str):
+            return None
+        return self.table.find_run(request.key, request.incoming.received_at_ms)
+
+    def _may_be_forgotten(self, request: RequestContext, now_ms: float) -> bool:
+        """Return whether a run that forbids this attempt may have been forgotten."""
+        return now_ms - request.incoming.received_at_ms > self._retention_ms
 
-    def may_have_run(self, request: RequestContext) -> bool:
+    def may_have_run(self, request: RequestContext, now_ms: float) -> bool:
         """Return whether a keyed request may have run, here or in another process of this node."""
         if not isinstance(request.key, str):
             return False
-        if self.table.find_run(request.key):
+        if self.find_run(request) or self._may_be_forgotten(request, now_ms):
             return True
         return self.claims is not None and self.claims.is_claimed(
             request.key, request.incoming.received_at_ms
         )
 
-    def may_run(self, request: RequestContext) -> bool:
+    def may_run(self, request: RequestContext, now_ms: float) -> bool:
         """Return whether the table allows this attempt to run."""
-        return not isinstance(request.key, str) or self.table.may_run(request.id, request.key)
+        if not isinstance(request.key, str):
+            return True
+        if self._may_be_forgotten(request, now_ms):
+            return False
+        return self.table.may_run(request.id, request.key, request.incoming.received_at_ms)
 
     def claim(self, request: RequestContext, now_ms: float, window_end_ms: float) -> bool:
         """Claim a keyed request for this process; return False if another process may have run it.
@@ -53,7 +70,7 @@
         """
         if self.claims is None or not isinstance(request.key, str):
             return True
-        expires_at_ms = max(now_ms, window_end_ms) + self._claim_retention_ms
+        expires_at_ms = max(now_ms, window_end_ms) + self._retention_ms
         times = ClaimTimes(window_end_ms, expires_at_ms)
         return self.claims.claim(request.key, request.incoming.received_at_ms, times)
 
@@ -82,4 +99,4 @@
         """Remove expired records and claims."""
         self.table.expire(now_ms)
         if self.claims is not None:
-            self.claims.remove_expired(now_ms, self._claim_retention_ms)
+            self.claims.remove_expired(now_ms, self._retention_ms)
--- a/spindlerelay/node/graceful_shutdown.py
+++ b/spindlerelay/node/graceful_shutdown.py
@@ -180,9 +180,10 @@
         They never run here. A request that has not run before is rejected, so it may run on another node.
         """
         context = self._context
+        now_ms = context.loop.now()
         for request in context.requests.without_response():
             may_have_started = (
-                request.running or request.original_id or context.duplicates.may_have_run(request)
+                request.running or request.original_id or context.duplicates.may_have_run(request, now_ms)
             )
             self._responder.give_up(request, Failure() if may_have_started else Rejection())
             context.pending_events.append(api.CallerDisconnected(request.id))
--- a/spindlerelay/node/idempotency.py
+++ b/spindlerelay/node/idempotency.py
@@ -3,14 +3,16 @@
 The table prevents duplicate runs within one process whatever the admission controller decides, and bounds its
 own memory. Pure: the caller passes the time. Ids are the node's ids of attempts; times are in Unix
 milliseconds. The run of an attempt forbids a run of every attempt received within the idempotency window,
-which is counted from the ``received_at_ms`` of the attempt that ran. A record is kept for some time after its
-window, since a request may be read late.
+which is counted from the ``received_at_ms`` of the attempt that ran. Attempts may be read late, and in
+another order than they were received, so the record of a run is kept for some time after its window, also
+while a later attempt has the key.
 """
 
 from __future__ import annotations
 
 import heapq
 import itertools
+import math
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
@@ -18,7 +20,9 @@
 RESULTS_MEMORY_FRACTION = 0.25  # share of the remaining memory that cached results may take
 RECORDS_PER_MB = 250  # a record takes about 0.5 KB
 EXPIRY_RETRY_MS = 1000.0  # delay of the next check of an expired record whose run has not ended
-MAX_READ_DELAY_MS = 6000.0  # a record is kept this long after its window; no request waits longer to be read
+DEFAULT_RETENTION_MS = 6000.0  # a record of a run is kept this long after its window
+# While a run is unfinished, attempts received this long after its window still wait for it.
+COALESCING_AFTER_WINDOW_MS = 6000.0
 
 # An idempotency key, or for reads that share a result the indices of class and resource.
 Key = str | tuple[int, int]
@@ -50,9 +54,9 @@
     result: bytes | None = None
     coalesced_ids: list[int] = field(default_factory=list)
 
-    def expires_at_ms(self) -> float:
-        """Return the time from which the record forbids no run and may be removed."""
-        return max(self.reserved_until_ms, self.window_end_ms + MAX_READ_DELAY_MS if self.run_id else 0.0)
+    def expires_at_ms(self, retention_ms: float) -> float:
+        """Return the time from which the record may be removed."""
+        return max(self.reserved_until_ms, self.window_end_ms + retention_ms if self.run_id else 0.0)
 
 
 class IdempotencyTable:
@@ -67,8 +71,11 @@
             max(1.0, (memory_mb - PROCESS_MEMORY_MB) * RESULTS_MEMORY_FRACTION) * (1 << 20)
         )
         self.max_records = int(memory_mb * RECORDS_PER_MB)
+        self.retention_ms = DEFAULT_RETENTION_MS
         self.result_bytes = 0
         self._records: dict[Key, IdempotencyRecord] = {}
+        # Records of runs whose key an attempt received after the window has, the newest of each key.
+        self._superseded: dict[Key, IdempotencyRecord] = {}
         self._by_original_id: dict[int, IdempotencyRecord] = {}
         self._batch: list[IdempotencyRecord] = []
         self._records_with_result: OrderedDict[IdempotencyRecord, None] = OrderedDict()
@@ -78,7 +85,7 @@
         self._last_restored_id = 0
 
     def __len__(self) -> int:
-        return len(self._records)
+        return len(self._records) + len(self._superseded)
 
     def matches(self, key: Key, content_hash: int) -> bool:
         """Return whether an attempt with this key and content may belong to the recorded request."""
@@ -89,18 +96,21 @@
         self, key: Key, request_id: int, received_at_ms: float, now_ms: float, content_hash: int = 0
     ) -> int:
         """Return the id of the original attempt that this one repeats, 0 if this is the original."""
+        if superseded := self._superseded_run(key, received_at_ms):
+            return superseded.original_id
         record = self._records.get(key)
         if record:
-            # While the first run is unfinished, an attempt received after the window is linked to it, too:
-            # removing the record would lose the attempts that wait already, and a concurrent second run would
-            # serve no caller.
-            linkable_until_ms = record.window_end_ms + (0.0 if record.finished else MAX_READ_DELAY_MS)
+            # While the first run is unfinished, an attempt received after the window is linked to it, too: a
+            # concurrent second run would serve no caller.
+            linkable_until_ms = record.window_end_ms + (
+                0.0 if record.finished else COALESCING_AFTER_WINDOW_MS
+            )
             is_current = record.reserved_until_ms >= min(received_at_ms, now_ms) or (
                 record.run_id and received_at_ms <= linkable_until_ms
             )
             if is_current or record in self._batch:
                 return record.original_id
-            self._remove(record)
+            self._release_key(record)
         record = self._add_record(key, request_id, content_hash)
         self._batch.append(record)
         return 0
@@ -121,7 +131,7 @@
         record = self._records.get(key)
         if record is None:
             record = self._add_record(key, request_id, content_hash)
-        if not record.reserved_until_ms and len(self._records) > self.max_records:
+        if not record.reserved_until_ms and len(self) > self.max_records:
             return
         if record.original_id != request_id and not record.run_id:
             self._by_original_id.pop(record.original_id, None)
@@ -139,8 +149,10 @@
             if not record.run_id:
                 self._remove(record)
 
-    def may_run(self, request_id: int, key: Key) -> bool:
+    def may_run(self, request_id: int, key: Key, received_at_ms: float = math.inf) -> bool:
         """Return whether the attempt is reserved and no attempt has run within the window."""
+        if self._superseded_run(key, received_at_ms):
+            return False
         record = self._records.get(key)
         return (
             record is not None
@@ -182,13 +194,18 @@
         record.window_end_ms = window_end_ms
         record.finished = True
         heapq.heappush(
-            self._expiration_heap, (window_end_ms + MAX_READ_DELAY_MS, next(self._sequence_numbers), record)
+            self._expiration_heap, (window_end_ms + self.retention_ms, next(self._sequence_numbers), record)
         )
         if result is not None:
             self._store_result(record, result)
 
-    def find_run(self, key: Key) -> IdempotencyRecord | None:
-        """Return the record of a request that has run here, None if it has not."""
+    def find_run(self, key: Key, received_at_ms: float = math.inf) -> IdempotencyRecord | None:
+        """Return the record of a run here, None if there was none.
+
+        An attempt received within the window of an earlier run gets the record of that run.
+        """
+        if superseded := self._superseded_run(key, received_at_ms):
+            return superseded
         record = self._records.get(key)
         return record if record and record.run_id else None
 
@@ -226,15 +243,37 @@
         """Remove the expired records of requests that are not running."""
         while self._expiration_heap and self._expiration_heap[0][0] <= now_ms:
             _, sequence_number, record = heapq.heappop(self._expiration_heap)
-            if self._records.get(record.key) is not record:
+            if not self._holds(record):
                 continue
             is_inactive = (record.finished or not record.run_id) and record not in self._batch
-            if record.expires_at_ms() <= now_ms and is_inactive:
+            expires_at_ms = record.expires_at_ms(self.retention_ms)
+            if expires_at_ms <= now_ms and is_inactive:
                 self._remove(record)
             else:
-                retry_at_ms = max(record.expires_at_ms(), now_ms + EXPIRY_RETRY_MS)
+                retry_at_ms = max(expires_at_ms, now_ms + EXPIRY_RETRY_MS)
                 heapq.heappush(self._expiration_heap, (retry_at_ms, sequence_number, record))
 
+    def _holds(self, record: IdempotencyRecord) -> bool:
+        return self._records.get(record.key) is record or self._superseded.get(record.key) is record
+
+    def _superseded_run(self, key: Key, received_at_ms: float) -> IdempotencyRecord | None:
+        """Return the superseded run that forbids a run of an attempt received at this time."""
+        record = self._superseded.get(key)
+        return record if record is not None and received_at_ms <= record.window_end_ms else None
+
+    def _release_key(self, record: IdempotencyRecord) -> None:
+        """Free the key of a record for a later attempt; a run stays known to attempts in its window.
+
+        Its window ends after the windows of all earlier runs of the key, so it stands for them, too.
+        """
+        if not record.run_id:
+            self._remove(record)
+            return
+        if earlier := self._superseded.get(record.key):
+            self._remove(earlier)
+        del self._records[record.key]
+        self._superseded[record.key] = record
+
     def _add_record(self, key: Key, original_id: int, content_hash: int) -> IdempotencyRecord:
         record = IdempotencyRecord(key, original_id, content_hash)
         self._records[key] = record
@@ -257,6 +296,7 @@
 
     def _remove(self, record: IdempotencyRecord) -> None:
         self._drop_result(record)
-        if self._records.get(record.key) is record:
-            del self._records[record.key]
+        for records in (self._records, self._superseded):
+            if records.get(record.key) is record:
+                del records[record.key]
         self._by_original_id.pop(record.original_id, None)
--- a/tests/test_idempotency_table.py
+++ b/tests/test_idempotency_table.py
@@ -75,6 +75,25 @@
     assert len(table) == 0 and not table._expiration_heap
 
 
+def test_superseded_runs_of_a_key_are_one_record_that_expires() -> None:
+    table = IdempotencyTable()
+    for number, received_at_ms in enumerate((0.0, 1001.0, 2002.0), start=1):
+        assert table.link("k", number, received_at_ms, received_at_ms) == 0
+        table.reserve(number, "k", received_at_ms + 1000.0)
+        assert table.may_run(number, "k", received_at_ms)
+        table.record_run(number, received_at_ms + 1000.0)
+        table.finish(number, b"result")
+        table.end_batch()
+    assert len(table) == 2
+    assert table.link("k", 4, 900.0, 2100.0) == table.link("k", 5, 2001.0, 2100.0) == 2
+    assert table.link("k", 6, 2100.0, 2100.0) == 3
+    assert not table.may_run(4, "k", 900.0)
+    table.expire(2001.0 + table.retention_ms)
+    assert len(table) == 1
+    table.expire(3002.0 + table.retention_ms)
+    assert len(table) == 0 and table.result_bytes == 0
+
+
 def test_a_full_table_enters_nothing_more() -> None:
     table = IdempotencyTable()
     table.max_records = 1
--- a/tests/test_idempotency_window.py
+++ b/tests/test_idempotency_window.py
@@ -4,10 +4,16 @@
 
 import itertools
 import time
+from typing import Any
 
 import pytest
 
-from tests.node_harness import CALL_IDS, NodeHarness
+from spindlerelay import api
+from tests.node_harness import CALL_IDS, NodeHarness, NonBlockingBalancer
+
+WINDOW_MS = 2000.0
+PAST_WINDOW_MS = 2300
+AHEAD_MS = 100
 
 
 @pytest.fixture
@@ -50,6 +56,75 @@
     assert len(harness.started_calls()) == runs
 
 
+class WindowHarness(NodeHarness):
+    """Runs the first attempt; then the controller does to each attempt what ``decisions`` say."""
+
+    def __init__(self, decisions: list[str]) -> None:
+        super().__init__(window_ms=WINDOW_MS)
+        self.decisions = decisions
+
+    def decide(self, request: api.RequestReceived) -> list[api.Action]:
+        decision = self.decisions.pop(0)
+        if decision == "reject":
+            return [api.Reject(request.id)]
+        return [api.CacheResult(request.id, 0.001), api.Run(request.id)]
+
+    def serve(self, client: NonBlockingBalancer, call: str, received_at_ms: int) -> Any:
+        """Send an attempt, let it run where the node starts it, and return its response."""
+        client.send(client.encode_request("order", call=call, recv=str(received_at_ms)))
+        self.run_until(lambda: client.last in client.responded_ids() or call in self.started_calls())
+        if call in self.started_calls():
+            self.finish_run(call, f"run of {call}".encode())
+        self.run_until(lambda: client.last in client.responded_ids())
+        return client.responses()[-1]
+
+
+@pytest.mark.parametrize("later", ["reject", "run"])
+@pytest.mark.parametrize("decision", ["reject", "run"])
+def test_attempt_within_the_window_that_is_read_after_one_past_it_is_neither_run_nor_rejected(
+    later: str, decision: str
+) -> None:
+    """The attempt past the window removed the record of the run: the order ran twice, or got Busy."""
+    harness = WindowHarness(["run", later, decision])
+    client, (first, second, third) = harness.client(), itertools.islice(CALL_IDS, 3)
+    received_at_ms = int(time.time() * 1000) - PAST_WINDOW_MS + AHEAD_MS  # past the reservation, too
+    result = f"run of {first}".encode()
+    assert harness.serve(client, first, received_at_ms) == result
+    past_window = harness.serve(client, third, received_at_ms + PAST_WINDOW_MS)
+    assert past_window == ("Busy" if later == "reject" else f"run of {third}".encode())
+    within_window = harness.serve(client, second, received_at_ms + int(WINDOW_MS) - 100)
+    assert within_window == (result if decision == "reject" else "Failed")  # a refused run only fails
+    assert harness.started_calls() == ([first] if later == "reject" else [first, third])
+
+
+@pytest.mark.parametrize("decision", ["reject", "run"])
+def test_attempt_that_is_read_when_the_run_before_it_may_be_forgotten_fails(decision: str) -> None:
+    """Read more than 6 s past the window, it ran again, or got Busy."""
+    harness = WindowHarness([decision])
+    client, retention_ms = harness.client(), harness.node.context.duplicates._retention_ms
+    received_at_ms = int(time.time() * 1000 - retention_ms) - 100
+    call = next(CALL_IDS)
+    assert harness.serve(client, call, received_at_ms) == "Failed"
+    assert harness.started_calls() == []
+
+
+def test_record_of_a_run_outlasts_every_attempt_in_its_window_that_can_be_answered_in_time(
+    harness: NodeHarness,
+) -> None:
+    duplicates = harness.node.context.duplicates
+    longest_request_ms = harness.balancer_server.max_request_ms
+    table = duplicates.table
+    table.link("k", 1, 0.0, 0.0)
+    table.reserve(1, "k", 1.0)
+    table.record_run(1, WINDOW_MS)
+    table.finish(1, b"charged")
+    table.end_batch()
+    duplicates.expire(WINDOW_MS + longest_request_ms)
+    assert table.find_run("k")
+    duplicates.expire(WINDOW_MS + duplicates._retention_ms)
+    assert len(table) == 0
+
+
 def test_requests_that_may_not_be_repeated_share_no_run_though_they_name_the_same_row(
     harness: NodeHarness,
 ) -> None:
