Balancers: do not run what was unread on a connection that its client has left

Cause: bytes that lay unread come out of the kernel before the reset does, and a write that fails went on reading, as is right for a backend's last reply. For a balancer no answer can arrive any more, and its client may send the same again. That requests ran after a plain reset, which has no end of input, rules out the other guess, an end of input that is seen too late.

Fix: a connection that was reset, or whose output is lost, is closed before its bytes are decoded. A balancer that ended only its own side still gets its answers, as its tests say.

--- a/spindlerelay/frontends/balancer_connection.py
+++ b/spindlerelay/frontends/balancer_connection.py
@@ -108,6 +108,10 @@
         self.last_used_at_ms = self._server.loop.now()
         if not self._reading:
             return  # input is read and dropped until the peer closes: see Connection.end_output
+        if self.connection.output_lost():
+            # The balancer has left: a request that is read now could get no response, and may come again.
+            self.connection.close()
+            return
         messages = self._decoder.feed(data)
         for message in messages:
             if isinstance(message, Withdrawal):
--- a/spindlerelay/transport/connection.py
+++ b/spindlerelay/transport/connection.py
@@ -90,6 +90,13 @@
         """Return whether the peer has reset the connection; the selector reports that only while reading."""
         return self.open and self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
 
+    def output_lost(self) -> bool:
+        """Return whether output can no longer arrive, since the peer has reset the connection.
+
+        Only meaningful before ``end_output``. Data that the peer sent before its reset may still be read.
+        """
+        return not self.write_side_open or self.was_reset()
+
     def close(self) -> None:
         """Close the socket, drop unsent output, and call ``on_close``. Further calls have no effect."""
         if not self.open:
--- a/tests/node_harness.py
+++ b/tests/node_harness.py
@@ -9,6 +9,7 @@
 import contextlib
 import itertools
 import socket
+import struct
 import time
 from collections.abc import Callable
 from typing import Any
@@ -182,6 +183,11 @@
                 self.messages += list(self.unpacker)
         return self.messages
 
+    def reset(self) -> None:
+        """Reset the connection."""
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.sock.close()
+
     def is_closed(self) -> bool:
         self.receive()
         return bool(self.closed_by)
--- a/tests/test_balancer_connections.py
+++ b/tests/test_balancer_connections.py
@@ -19,6 +19,7 @@
 )
 
 PARTITION_MS = 3000.0
+MANY_REQUESTS = 600  # take many reads
 
 
 @pytest.fixture
@@ -113,6 +114,36 @@
     assert first.responded_ids() == [] and first.closed_by == "end"
 
 
+def test_requests_of_a_client_that_reset_its_connection_before_they_were_read_do_not_run(
+    harness: NodeHarness,
+) -> None:
+    """What lay unread was run, though no answer could arrive, and ran again when the client sent it again."""
+    client = harness.served_client()
+    harness.runs_requests = True
+    client.send(b"".join(client.encode_request() for _ in range(5)))
+    client.reset()
+    assert harness.run_until(lambda: not harness.balancer_server.connections)
+    assert harness.started_calls() == []
+
+
+def test_requests_of_a_client_that_left_are_not_read_on_once_its_answers_cannot_be_written(
+    harness: NodeHarness,
+) -> None:
+    """All that it had written was read to the end, and run as earlier requests made room."""
+    client = harness.client()
+    harness.runs_requests = True
+    client.send(b"".join(client.encode_request() for _ in range(MANY_REQUESTS)))
+    client.sock.close()
+
+    def finish_all() -> bool:
+        for call in harness.started_calls():
+            harness.finish_run(call, b"done")
+        return not harness.balancer_server.connections
+
+    assert harness.run_until(finish_all)
+    assert len(harness.started_calls()) <= balancer_connection.MAX_OPEN_REQUESTS
+
+
 def test_a_slow_writer_is_heard_out_while_its_bytes_come(
     harness: NodeHarness, monkeypatch: pytest.MonkeyPatch
 ) -> None:
