Duplicate runs: remember the call ids of runs that may not be repeated

Cause: a call id was known only while its request was open. Keyed classes have a table and claims, classes that may run once and have no key had nothing.

Fix: the guard against second runs keeps the ids of such calls that ran, and claims them where processes share claims. A call that comes again fails. The ids are bounded like the table's records, and forgotten when no attempt with the same id can be in time.

--- a/tests/test_idempotency_window.py
+++ b/tests/test_idempotency_window.py
@@ -4,11 +4,18 @@
 
 import itertools
 import time
+from pathlib import Path
 from typing import Any
+from unittest.mock import ANY
 
 import pytest
 
 from spindlerelay import api
+from spindlerelay.node.duplicate_run_guard import DuplicateRunGuard
+from spindlerelay.node.frontend import IncomingRequest
+from spindlerelay.node.request import RequestContext
+from spindlerelay.storage.idempotency_claims import IdempotencyClaims
+from tests.driver import UNSAFE, settings
 from tests.node_harness import CALL_IDS, NodeHarness, NonBlockingBalancer
 
 WINDOW_MS = 2000.0
@@ -125,6 +132,48 @@
     assert len(table) == 0
 
 
+@pytest.mark.parametrize("decision", [api.Run, api.Reject], ids=["run", "reject"])
+@pytest.mark.parametrize("handover", [False, True], ids=["one process", "in a handover"])
+def test_a_call_that_may_not_be_repeated_runs_once_though_its_client_left_and_came_again(
+    tmp_path: Path, handover: bool, decision: type[api.Run | api.Reject]
+) -> None:
+    """Once its run was over, nothing knew of its id: it ran again, or was rejected as if it never had."""
+    first, call = NodeHarness(), next(CALL_IDS)
+    second = NodeHarness() if handover else first
+    if handover:
+        for harness in (first, second):
+            harness.node.set_claims(IdempotencyClaims(str(tmp_path)))
+    first.runs_requests = True
+    client = first.client()
+    client.send(client.encode_request("seal", call=call))
+    assert first.run_until(first.started_calls)
+    client.sock.close()
+    first.finish_run(call, b"sealed")
+    assert first.run_until(lambda: not first.node.context.requests.by_id)
+    second.runs_requests = decision is api.Run
+    again = second.client()
+    again.send(again.encode_request("seal", call=call))
+    assert second.run_until(again.responded_ids)
+    assert again.responses() == ["Failed"]
+    assert first.started_calls() + (second.started_calls() if handover else []) == [call]
+
+
+def test_calls_that_ran_and_may_not_be_repeated_are_remembered_within_a_bound() -> None:
+    duplicates = DuplicateRunGuard(32.0, settings(UNSAFE))
+    duplicates.table.max_records = 10
+    made = [RequestContext(n, IncomingRequest(f"{n:016x}", 0, 0.0, 1.0, b""), ANY, 0.0) for n in range(12)]
+    for request in made[:10]:
+        assert duplicates.may_run(request, 1.0)
+        duplicates.record_run(request, 0.0)
+    assert not any(duplicates.may_run(request, 1.0) for request in made)
+    assert not duplicates.may_have_run(made[11], 1.0)
+    duplicates.revoke_run(made[0])
+    assert duplicates.may_run(made[0], 1.0)
+    duplicates.expire(2 * duplicates._retention_ms)
+    late = RequestContext(20, IncomingRequest(made[1].incoming.call_id, 0, 1e6, 2e6, b""), ANY, 1e6)
+    assert duplicates.may_run(late, 1e6) and not duplicates.may_have_run(late, 1e6)
+
+
 def test_requests_that_may_not_be_repeated_share_no_run_though_they_name_the_same_row(
     harness: NodeHarness,
 ) -> None:
