Expiry: drop the heap entries of requests that are over, so that a flood takes no memory

Cause: the idempotency table's heap of expiry times kept an entry, and with it the record, of each order that was reserved and rejected, to the end of its window. The table was empty, and floods of other unsound requests did not grow, which rules out the tables and the counts of the log. The controller's heap of deadlines kept its entries for the length of a deadline.

Fix: a heap that holds twice what is in use is rebuilt from that, at a constant cost an entry.

--- a/spindlerelay/admission/request_state.py
+++ b/spindlerelay/admission/request_state.py
@@ -14,6 +14,7 @@
 
 from spindlerelay import api
 
+MIN_EXPIRATIONS_LIMIT = 128  # the heap of expiry times holds so many entries, or twice those in use
 MAX_ENDED_UNRUN = 1024  # most ids kept of requests that ended without a run
 
 
@@ -109,8 +110,10 @@
         self.by_id: dict[int, RequestState] = {}
         self.started: dict[int, RequestState] = {}  # requests whose run has started, in order of start
         self.phase_counts = [0] * len(Phase)  # number of requests, by phase
-        # Heap of expiry times and request ids. Entries of requests that are over stay until they expire.
+        # Heap of expiry times and request ids. Entries of requests that are over stay until they expire, or
+        # until the heap reaches its limit.
         self._expirations: list[tuple[float, int]] = []
+        self._max_expirations = MIN_EXPIRATIONS_LIMIT
         self._ended_unrun: OrderedDict[int, None] = OrderedDict()
 
     def add(self, request: RequestState) -> None:
@@ -122,6 +125,10 @@
     def expire_at(self, request: RequestState, time_ms: float) -> None:
         """Schedule the request for ``pop_expired`` at ``time_ms``."""
         heapq.heappush(self._expirations, (time_ms, request.id))
+        if len(self._expirations) > self._max_expirations:
+            self._expirations = [entry for entry in self._expirations if entry[1] in self.by_id]
+            heapq.heapify(self._expirations)
+            self._max_expirations = max(MIN_EXPIRATIONS_LIMIT, 2 * len(self._expirations))
 
     def pop_expired(self, horizon_ms: float) -> RequestState | None:
         """Remove the earliest expiry up to ``horizon_ms`` and return its request, or None if there is none.
--- a/spindlerelay/node/idempotency.py
+++ b/spindlerelay/node/idempotency.py
@@ -19,6 +19,7 @@
 PROCESS_MEMORY_MB = 32.0  # memory of the process without results, with all connections in use
 RESULTS_MEMORY_FRACTION = 0.25  # share of the remaining memory that cached results may take
 RECORDS_PER_MB = 250  # a record takes about 0.5 KB
+MIN_EXPIRATIONS_LIMIT = 128  # the heap of expiry times holds so many entries, or twice those in use
 EXPIRY_RETRY_MS = 1000.0  # delay of the next check of an expired record whose run has not ended
 DEFAULT_RETENTION_MS = 6000.0  # a record of a run is kept this long after its window
 # While a run is unfinished, attempts received this long after its window still wait for it.
@@ -79,8 +80,10 @@
         self._by_original_id: dict[int, IdempotencyRecord] = {}
         self._batch: list[IdempotencyRecord] = []
         self._records_with_result: OrderedDict[IdempotencyRecord, None] = OrderedDict()
-        # Heap with one entry for each record that is or was reserved, or was restored.
+        # Heap with entries for the records that are or were reserved, or were restored. Entries of removed
+        # records stay until they expire, or until the heap reaches its limit.
         self._expiration_heap: list[tuple[float, int, IdempotencyRecord]] = []
+        self._max_expirations = MIN_EXPIRATIONS_LIMIT
         self._sequence_numbers = itertools.count()
         self._last_restored_id = 0
 
@@ -138,7 +141,7 @@
             record.original_id = request_id
             self._by_original_id[request_id] = record
         if not record.reserved_until_ms:
-            heapq.heappush(self._expiration_heap, (until_ms, next(self._sequence_numbers), record))
+            self._expire_at(until_ms, record)
         record.reserved_until_ms = max(record.reserved_until_ms, until_ms)
 
     def evict(self, request_id: int) -> None:
@@ -193,9 +196,7 @@
         record.run_id = record.original_id
         record.window_end_ms = window_end_ms
         record.finished = True
-        heapq.heappush(
-            self._expiration_heap, (window_end_ms + self.retention_ms, next(self._sequence_numbers), record)
-        )
+        self._expire_at(window_end_ms + self.retention_ms, record)
         if result is not None:
             self._store_result(record, result)
 
@@ -253,6 +254,14 @@
                 retry_at_ms = max(expires_at_ms, now_ms + EXPIRY_RETRY_MS)
                 heapq.heappush(self._expiration_heap, (retry_at_ms, sequence_number, record))
 
+    def _expire_at(self, time_ms: float, record: IdempotencyRecord) -> None:
+        heapq.heappush(self._expiration_heap, (time_ms, next(self._sequence_numbers), record))
+        if len(self._expiration_heap) > self._max_expirations:
+            in_use = {entry[2]: entry for entry in self._expiration_heap if self._holds(entry[2])}
+            self._expiration_heap = list(in_use.values())
+            heapq.heapify(self._expiration_heap)
+            self._max_expirations = max(MIN_EXPIRATIONS_LIMIT, 2 * len(in_use))
+
     def _holds(self, record: IdempotencyRecord) -> bool:
         return self._records.get(record.key) is record or self._superseded.get(record.key) is record
 
--- a/tests/test_idempotency_table.py
+++ b/tests/test_idempotency_table.py
@@ -94,6 +94,21 @@
     assert len(table) == 0 and table.result_bytes == 0
 
 
+def test_keys_that_are_reserved_and_evicted_at_once_leave_nothing_behind() -> None:
+    """Each left an entry until the end of its window: a flood under new keys took 4.5 MB a second."""
+    table = IdempotencyTable()
+    for number in range(1, 20_000):
+        table.link(f"k{number}", number, 0.0, 0.0)
+        table.reserve(number, f"k{number}", 15_000.0)
+        table.end_batch()
+        if number % 1000:
+            table.evict(number)
+    assert len(table) == 19
+    assert len(table._expiration_heap) < 200
+    table.expire(30_000.0)
+    assert len(table) == 0
+
+
 def test_a_full_table_enters_nothing_more() -> None:
     table = IdempotencyTable()
     table.max_records = 1
