Balancers: bound the short messages of a turn, and the requests after a goaway

Callers saw (reported by operators of other deployments): late answers while one client sent small or unsound requests at full speed.

Cause: a turn read 16 KB of each connection, 1,800 messages of 9 bytes, and answered them all. A client with bad requests got a goaway, and was answered for as long as it went on. Health checks write no warnings and delayed others alike, so the log is not the cause.

Fix: reads of a connection shrink to about 64 messages where these are short. After a goaway for bad requests, the 32 that a balancer may have on their way are answered, then the input ends.

--- a/spindlerelay/frontends/balancer_connection.py
+++ b/spindlerelay/frontends/balancer_connection.py
@@ -11,6 +11,7 @@
 
 from spindlerelay.frontends import msgpack_rpc_codec
 from spindlerelay.frontends.msgpack_rpc_codec import Call, RequestSchema, Withdrawal
+from spindlerelay.frontends.read_limit import ReadLimit
 from spindlerelay.node.frontend import Failure, FinalResponse, IncomingRequest, RequestReceiver
 from spindlerelay.transport.connection import Connection
 from spindlerelay.transport.event_loop import EventLoop
@@ -92,9 +93,12 @@
         self._has_received_request = False  # whether a whole request has been read
         self._has_valid_request = False  # whether one of them was valid, or a health check
         self._bad_requests = 0
+        self._calls_after_goaway = 0  # calls since a goaway for too many bad requests
+        self._read_limit = ReadLimit()
         self.connection = Connection(
             server.loop, sock, self._on_data, self._on_close, on_peer_end=self._on_peer_end
         )
+        self.connection.max_read_bytes = self._read_limit.read_bytes
 
     def _transition(self, event: ConnectionEvent) -> None:
         self._state = TRANSITIONS[self._state, event]
@@ -113,27 +117,42 @@
             self.connection.close()
             return
         messages = self._decoder.feed(data)
+        self._read_limit.update(len(data), self._decoder.frame_count)
+        self.connection.max_read_bytes = self._read_limit.read_bytes
         for message in messages:
-            if isinstance(message, Withdrawal):
-                self._withdraw(message.msgid)
-            else:
-                self._on_call(message)
-        if self._decoder.error:
+            if not self._reading:
+                break
+            self._on_message(message)
+        if self._decoder.error and self._reading:
             # After a framing error the rest of the stream is unreadable. Requests read before it still get
             # their responses.
             self._warn(self._decoder.error)
             self._end_input()
             self._close_if_idle()
-        elif self._bad_requests > MAX_BAD_REQUESTS and self._state is ConnectionState.ACCEPTING:
+        if not self._decoder.partial_frame:
+            self._partial_since_ms = 0.0
+        elif messages or not self._partial_since_ms:
+            self._partial_since_ms = self.last_used_at_ms
+
+    def _on_message(self, message: Call | Withdrawal) -> None:
+        if isinstance(message, Withdrawal):
+            self._withdraw(message.msgid)
+            return
+        if self._bad_requests > MAX_BAD_REQUESTS:
+            self._calls_after_goaway += 1
+        if self._calls_after_goaway > MAX_OPEN_REQUESTS:
+            # A balancer had no more requests on their way when the goaway was sent.
+            self._warn("requests go on after a goaway for bad requests")
+            self._end_input()
+            self._close_if_idle()
+            return
+        self._on_call(message)
+        if self._bad_requests > MAX_BAD_REQUESTS and self._state is ConnectionState.ACCEPTING:
             # The framing is intact, so the requests that follow still get responses. Dropping them would lose
             # requests that the balancer sent before it learned of the error, for example when it knows newer
             # classes than the node.
             self._warn("too many bad requests: goaway sent")
             self.go_away()
-        if not self._decoder.partial_frame:
-            self._partial_since_ms = 0.0
-        elif messages or not self._partial_since_ms:
-            self._partial_since_ms = self.last_used_at_ms
 
     def _warn(self, detail: str) -> None:
         self._server.loop.warnings.warn("bad input from a balancer", detail)
--- a/spindlerelay/frontends/msgpack_rpc_codec.py
+++ b/spindlerelay/frontends/msgpack_rpc_codec.py
@@ -148,10 +148,12 @@
     def __init__(self) -> None:
         self.error = ""
         self.partial_frame = b""
+        self.frame_count = 0  # whole frames in the last chunk, also those without a message
 
     def feed(self, data: bytes) -> list[Call | Withdrawal]:
         """Return the messages that ``data`` completes, including the ones ahead of an invalid frame."""
         messages: list[Call | Withdrawal] = []
+        self.frame_count = 0
         unpacker = Decoder._shared_unpacker
         data = self.partial_frame + data if self.partial_frame else data
         start = frame_end = unpacker.tell()
@@ -160,6 +162,7 @@
             for frame in unpacker:
                 frame_start = frame_end
                 frame_end = unpacker.tell()
+                self.frame_count += 1
                 if frame_end - frame_start > MAX_FRAME_BYTES:
                     raise InvalidFrameError("oversized frame")
                 if message := _decode_frame(frame):
--- a/spindlerelay/transport/connection.py
+++ b/spindlerelay/transport/connection.py
@@ -60,6 +60,7 @@
         self.on_close = on_close
         self.on_open = on_open
         self.on_peer_end = on_peer_end
+        self.max_read_bytes = MAX_READ_BYTES  # limit for one turn; the owner may lower it
         self.output_buffer = bytearray()  # bytes queued, not sent yet
         self.open = True
         self.read_side_open = True  # the peer has not ended its direction
@@ -83,7 +84,7 @@
     def read_available(self) -> None:
         """Read the data that arrived since this turn began, as the final read before a shutdown."""
         for _ in range(MAX_FINAL_READS):
-            if not self.open or not self.read_side_open or self.connecting or not self._read():
+            if not self.open or not self.read_side_open or self.connecting or not self._read(MAX_READ_BYTES):
                 return
 
     def was_reset(self) -> bool:
@@ -125,7 +126,7 @@
             self._finish_connecting()
             return
         if mask & selectors.EVENT_READ and self.open and self.read_side_open:
-            self._read()
+            self._read(self.max_read_bytes)
         if mask & selectors.EVENT_WRITE and self.open:
             self.flush()
 
@@ -159,10 +160,10 @@
         if self.on_open:
             self.on_open()
 
-    def _read(self) -> bool:
+    def _read(self, max_bytes: int) -> bool:
         """Read once; return whether any data arrived."""
         try:
-            data = self.sock.recv(MAX_READ_BYTES)
+            data = self.sock.recv(max_bytes)
         except (BlockingIOError, InterruptedError):
             return False
         except OSError:
--- a/tests/test_balancer_connections.py
+++ b/tests/test_balancer_connections.py
@@ -4,13 +4,16 @@
 
 import socket
 import time
+from typing import Any
 
 import msgpack
 import pytest
 
 from spindlerelay import api
-from spindlerelay.frontends import balancer_connection, balancer_server
+from spindlerelay.frontends import balancer_connection, balancer_server, msgpack_rpc_codec
 from spindlerelay.frontends.balancer_server import SWEEP_INTERVAL_MS
+from spindlerelay.frontends.read_limit import MAX_MESSAGES_PER_READ, MIN_READ_BYTES, ReadLimit
+from spindlerelay.transport.connection import MAX_READ_BYTES
 from tests.node_harness import (
     NodeHarness,
     NonBlockingBalancer,
@@ -19,6 +22,7 @@
 )
 
 PARTITION_MS = 3000.0
+MANY_MESSAGES = 3000
 MANY_REQUESTS = 600  # take many reads
 
 
@@ -241,6 +245,56 @@
     assert len(harness.balancer_server.connections) > len(crowd) // 2  # no more are ended than needed
 
 
+@pytest.mark.parametrize(
+    "message",
+    [[0, 1, "ping", []], [2, "abort", [1]], [2, "unknown", []]],
+    ids=["health checks", "withdrawals", "notifications"],
+)
+def test_a_turn_handles_a_bounded_number_of_short_messages_from_one_client(
+    harness: NodeHarness, message: list[Any], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """One read held 1,800 of them, and all other clients waited for each turn's worth."""
+    counts, feed = list[int](), msgpack_rpc_codec.Decoder.feed
+
+    def counted(self: msgpack_rpc_codec.Decoder, data: bytes) -> list[Any]:
+        messages = feed(self, data)
+        counts.append(self.frame_count)
+        return messages
+
+    monkeypatch.setattr(msgpack_rpc_codec.Decoder, "feed", counted)
+    client = harness.client()
+    client.send(msgpack.packb(message) * MANY_MESSAGES)
+    assert harness.run_until(lambda: client.receive() is not None and sum(counts) == MANY_MESSAGES)
+    assert max(counts[1:]) <= MAX_MESSAGES_PER_READ + 1  # one may have begun in the read before
+    assert counts[0] <= 2 * MAX_MESSAGES_PER_READ
+    expected_responses = MANY_MESSAGES if message[0] == 0 else 0
+    assert harness.run_until(lambda: len(client.receive()) == expected_responses)
+
+
+def test_reads_grow_to_their_limit_with_long_messages_and_shrink_again() -> None:
+    limit = ReadLimit()
+    for _ in range(10):
+        limit.update(limit.read_bytes, limit.read_bytes // 300)
+    assert limit.read_bytes == MAX_READ_BYTES
+    limit.update(900, 3)  # all that there was
+    assert limit.read_bytes == MAX_READ_BYTES
+    limit.update(MAX_READ_BYTES, MAX_READ_BYTES // 2)
+    assert limit.read_bytes == MIN_READ_BYTES
+    limit.update(MIN_READ_BYTES, 1)
+    assert limit.read_bytes == 2 * MIN_READ_BYTES
+
+
+def test_a_client_that_sends_on_after_a_goaway_for_bad_requests_is_read_no_more(harness: NodeHarness) -> None:
+    """Its bad requests were answered without end. A balancer has at most 32 requests on their way then."""
+    client = harness.client()
+    bad = msgpack.packb([0, 1, "poster", []])
+    client.send(bad * MANY_REQUESTS)
+    assert harness.run_until(client.is_closed)
+    assert client.closed_by == "end"
+    answered = len(client.responded_ids())
+    assert answered == balancer_connection.MAX_BAD_REQUESTS + 1 + balancer_connection.MAX_OPEN_REQUESTS
+
+
 def test_a_flood_of_connections_and_of_bad_requests_leaves_a_balancer_served() -> None:
     harness = NodeHarness(sockets=64)
     crowd = [NonBlockingBalancer(harness.address) for _ in range(200)]
