Admission: keyed entries leave memory for one run on each core

Callers saw (reported by operators of other deployments): late answers or none while one client sends under ever new names.

Cause: entries of keyed requests stay for their window and could take all memory that they share with runs, so that nothing ran. Health checks took 0.5 ms meanwhile, which rules out a busy loop.

Fix: an entry is made only if memory for one run on each core remains, at most a quarter of all; what runs already counts. Below that level nothing changes, and golden records are unchanged.

The new test failed before.

--- a/spindlerelay/admission/controller.py
+++ b/spindlerelay/admission/controller.py
@@ -225,7 +225,8 @@
         Returns:
             Whether the memory budget allows the entry.
         """
-        fits = self._fits_memory(self.settings.idempotency_entry_kb)
+        reserve_kb = self.memory.run_reserve_kb(request.queued_memory_kb)
+        fits = self._fits_memory(self.settings.idempotency_entry_kb + reserve_kb)
         if fits:
             expiry_ms = max(self._now_ms, request.arrived_ms + spec.idempotency_window_ms) + self._tick_ms
             self.memory.idempotency_expiry_ms[request.id] = expiry_ms
--- a/spindlerelay/admission/memory_budget.py
+++ b/spindlerelay/admission/memory_budget.py
@@ -12,6 +12,8 @@
 MEMORY_FRACTION = 0.92
 # Fraction of the memory for runs, cached results and the queue together.
 QUEUE_FRACTION = (1.0 + MEMORY_FRACTION) / 2
+# Most of the memory that entries of keyed requests leave free for runs.
+MAX_RUN_RESERVE_FRACTION = 0.25
 # Above this fraction of the memory, each read is run and its result is not cached for other reads.
 READ_CACHE_FRACTION = MEMORY_FRACTION / 2
 
@@ -36,6 +38,19 @@
         used_kb += entry_count * settings.idempotency_entry_kb
         return used_kb + additional_kb <= settings.memory_kb * fraction
 
+    def run_reserve_kb(self, queued_kb: float) -> float:
+        """Return the memory that a new entry must leave free, so that one request runs on each core.
+
+        An entry stays for the length of a window. If entries took all memory, nothing could run until then.
+
+        Args:
+            queued_kb: memory of a typical request while it is queued.
+        """
+        settings = self._settings
+        cores_kb = settings.cores * queued_kb * settings.run_memory_factor
+        reserve_kb = min(cores_kb, settings.memory_kb * MAX_RUN_RESERVE_FRACTION)
+        return max(0.0, reserve_kb - self.running_kb * settings.run_memory_factor)
+
     def is_cached(self, request_id: int) -> bool:
         """Return whether the result of a request is cached, or will be cached once the request has ended."""
         return request_id in self.idempotency_expiry_ms or request_id in self.read_expiry_ms
--- a/tests/test_admission_result_cache.py
+++ b/tests/test_admission_result_cache.py
@@ -107,6 +107,21 @@
     assert [action.id for action in of(api.Reject, actions)] == [1, 2]
 
 
+def test_entries_of_a_flood_under_new_keys_leave_memory_for_the_runs_of_others() -> None:
+    """They filled the memory for the length of a window, in which nothing else could run."""
+    driver = Driver(
+        settings(KEYED, PLAIN, memory_kb=2000.0, idempotency_entry_kb=50.0, run_memory_factor=8.0)
+    )
+    for number in range(1, 201):
+        for action in driver.send(api.RequestReceived(number, 0, queued_memory_kb=20.0)):
+            if isinstance(action, api.Run):
+                driver.send(api.RunCompleted(action.id, api.Outcome.OK))
+        driver.to(driver.now + 10.0)
+    assert 20 < len(driver.all(api.Run)) < 200
+    actions = driver.send(api.RequestReceived(500, 1, queued_memory_kb=20.0))
+    assert of(api.Run, actions) == [api.Run(500)]
+
+
 def test_ids_of_rejected_requests_are_bounded_and_a_forgotten_one_counts_as_run(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
