Balancers: near the limit of the table, end the oldest half requests, also slow ones

Callers saw: with 600 clients that wrote a byte every 50 ms, on 384 descriptors, a new connection got no answer within 5 s.

Cause: near the limit, connections were freed by the time since their last byte, which a client that writes on keeps short. The same clients without further bytes held others up for 1.7 s, so the accept queue is not the cause.

Fix: they are freed by the age of the half request, oldest first and no more than needed.

The case "byte by byte" failed before.

--- a/spindlerelay/frontends/balancer_connection.py
+++ b/spindlerelay/frontends/balancer_connection.py
@@ -245,11 +245,11 @@
         """Whether output has ended, so that the connection is about to close."""
         return self._state is ConnectionState.CLOSING
 
-    def stalled_ms(self, now_ms: float) -> float:
-        """Return for how long the rest of a request has been missing, 0 if none is, or others are open."""
+    def partial_request_ms(self, now_ms: float) -> float:
+        """Return the age of the partly read request, 0 if there is none or others are open."""
         if self.open_requests or not self._partial_since_ms:
             return 0.0
-        return now_ms - self.last_used_at_ms
+        return now_ms - self._partial_since_ms
 
     def end_partial_request(self, reason: str) -> None:
         """Drop a request whose rest is missing, and end the output."""
@@ -342,5 +342,5 @@
         # The network of a balancer may hold back the rest, which can still be answered in time. A client that
         # has sent no valid request yet may send none at all.
         stall_timeout_ms = NEAR_CAPACITY_TIMEOUT_MS if near_capacity else PARTIAL_REQUEST_TIMEOUT_MS
-        if not self._has_valid_request and self.stalled_ms(now_ms) > stall_timeout_ms:
+        if not self._has_valid_request and now_ms - self.last_used_at_ms > stall_timeout_ms:
             self.end_partial_request("the first request on its connection has stalled")
--- a/spindlerelay/frontends/balancer_server.py
+++ b/spindlerelay/frontends/balancer_server.py
@@ -89,7 +89,7 @@
         self.loop.call_later(SWEEP_INTERVAL_MS, self._sweep)
         now_ms = self.loop.now()
         # A full table accepts no connections. Well before it is full, connections that sent no request are
-        # closed, then idle connections get a goaway, then stalled ones are closed.
+        # closed, then idle connections get a goaway, then those with the oldest half requests are closed.
         excess_connections = len(self.connections) - NEAR_CAPACITY_FRACTION * self._max_connections
         for connection in list(self.connections):
             connection.sweep(now_ms, self._idle_timeout_ms, excess_connections > 0)
@@ -97,17 +97,20 @@
             self._free_connections(now_ms, int(excess_connections) + 1)
 
     def _free_connections(self, now_ms: float, count: int) -> None:
-        """Free up to ``count`` connections: idle ones, then those with a request whose rest is missing."""
+        """Free up to ``count`` connections: idle ones, then those with the oldest half requests."""
         count -= sum(connection.closing for connection in self.connections)
         if count <= 0:
             return
-        by_last_use = sorted(self.connections, key=lambda candidate: candidate.last_used_at_ms)
-        idle = [each for each in by_last_use if each.idle_ms(now_ms) > NEAR_CAPACITY_IDLE_TIMEOUT_MS]
+        idle = [each for each in self.connections if each.idle_ms(now_ms) > NEAR_CAPACITY_IDLE_TIMEOUT_MS]
+        idle.sort(key=lambda connection: connection.last_used_at_ms)
         for connection in idle[:count]:
             connection.go_away()
-        stalled = [each for each in by_last_use if each.stalled_ms(now_ms) > PARTIAL_REQUEST_TIMEOUT_MS]
-        for connection in stalled[: max(0, count - len(idle))]:
-            connection.end_partial_request("it has stalled while the connection table is nearly full")
+        partial = [
+            each for each in self.connections if each.partial_request_ms(now_ms) > PARTIAL_REQUEST_TIMEOUT_MS
+        ]
+        partial.sort(key=lambda connection: connection.partial_request_ms(now_ms), reverse=True)
+        for connection in partial[: max(0, count - len(idle))]:
+            connection.end_partial_request("it takes long while the connection table is nearly full")
 
     def respond(self, request: IncomingRequest, response: FinalResponse) -> None:
         """Send the final response, unless the balancer's connection has closed."""
--- a/tests/test_balancer_connections.py
+++ b/tests/test_balancer_connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import time
 from typing import Any
@@ -230,18 +231,29 @@
     assert harness.run_until(client.is_closed)
 
 
-def test_half_requests_on_all_connections_do_not_keep_a_balancer_out() -> None:
-    """The bound on descriptors holds for clients that sent a valid request first, too."""
+@pytest.mark.parametrize("goes_on", [False, True], ids=["stopped", "byte by byte"])
+def test_half_requests_on_all_connections_do_not_keep_a_balancer_out(goes_on: bool) -> None:
+    """The bound on descriptors holds for clients that sent a valid request first, too.
+
+    Those that went on byte by byte kept their connections for the longest deadline.
+    """
     harness = NodeHarness(sockets=64)
     crowd = [harness.served_client() for _ in range(harness.balancer_server._max_connections)]
-    for client in crowd:
-        client.send(client.encode_request()[:30])
+    frames = [client.encode_request(note="x" * 1000) for client in crowd]
+    for client, frame in zip(crowd, frames, strict=True):
+        client.send(frame[:30])
     harness.step_clock()
     good = NonBlockingBalancer(harness.address)
     good.send(good.encode_request())
     end_ms = harness.now() + balancer_connection.PARTIAL_REQUEST_TIMEOUT_MS + 4 * SWEEP_INTERVAL_MS
-    assert harness.run_until(lambda: good.responded_ids() == [1])
-    assert harness.now() <= end_ms
+    for position in range(30, 1000):
+        harness.run_for_clock_ms(SWEEP_INTERVAL_MS / 5)
+        if good.responded_ids() or harness.now() > end_ms:
+            break
+        for client, frame in zip(crowd if goes_on else [], frames, strict=False):
+            with contextlib.suppress(OSError):
+                client.send(frame[position : position + 1])
+    assert good.responded_ids() == [1]
     assert len(harness.balancer_server.connections) > len(crowd) // 2  # no more are ended than needed
 
 
