Tests: hundreds of partial requests stay within the memory limit, also in a handover

Operators of other deployments reported a process that passed its memory limit with hundreds of clients that stopped half way through a request or sent very many short fields.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -9,10 +9,12 @@
 from pathlib import Path
 from typing import Any
 
+import msgpack
 import pytest
 
-from tests.peers import SETTINGS, TIMEOUT_S, Interpreter, Program, Store, port
+from tests.peers import SETTINGS, TIMEOUT_S, Balancer, Interpreter, Program, Store, port
 
+CROWD = 400  # clients connected at once
 A, B, C = (f"{n:016x}" for n in (0xA1, 0xB2, 0xC3))
 
 
@@ -561,3 +563,36 @@
         pass  # the link, silent for as long, is made again
     node.interpreter.value(A, b"page")
     assert balancer.response(asked) == b"page"
+
+
+PARTIAL_REQUESTS = {
+    "half a large request": msgpack.packb([0, 2, "preview", [{"note": "x" * 5000}, b"page"]])[:4000],
+    "very many short fields": b"\x94\x00\x02\xa7preview\x92" + (b"\xdc\x00\x40" + b"\x90" * 64) * 115,
+}
+
+
+@pytest.mark.parametrize("handover", [False, True], ids=["one process", "in a handover"])
+@pytest.mark.parametrize("partial", PARTIAL_REQUESTS.values(), ids=PARTIAL_REQUESTS)
+def test_hundreds_of_partial_requests_stay_within_the_memory_limit(
+    tmp_path: Path, partial: bytes, handover: bool
+) -> None:
+    """Elsewhere a process passed its limit with hundreds of clients that stopped half way."""
+    with socket.create_server(("127.0.0.1", 0), backlog=CROWD) as listening:
+        fd = listening.fileno()
+        env = {"LB_ACCEPT_FD": str(fd), "TMPDIR": str(tmp_path)} if handover else {}
+        with Program(tmp_path, env=env, fds=(fd,) if handover else ()) as node:
+            node.interpreter.expect("CONNECT", "0")
+            address = f"127.0.0.1:{listening.getsockname()[1]}" if handover else node.address
+            crowd = [Balancer(address) for _ in range(CROWD)]
+            for client in crowd:
+                client.call("ping", [{}])
+                client.sock.sendall(partial)
+            good = Balancer(address)
+            assert good.response(good.call("ping", [{}])) is True
+            if handover:
+                node.terminate()
+                assert good.read() == [2, "goaway", []]
+            status = Path(f"/proc/{node.process.pid}/status").read_text()
+    # Both processes of a handover share the limit.
+    limit_kb = node.config["limits"]["memory_mb"] * 1024 // (2 if handover else 1)
+    assert int(status.split("VmHWM:")[1].split()[0]) < limit_kb
