Admission: the state of a drain has a module of its own; one scripted start in the tests

The controller kept three values of the drain, and a constant of it stood in the load report. Two tests of signals shared a subclass by copy. Behaviour and golden records are unchanged.

--- a/spindlerelay/admission/controller.py
+++ b/spindlerelay/admission/controller.py
@@ -15,8 +15,9 @@
 from spindlerelay.admission.class_statistics import ClassStatistics, mean_core_ms, update_means
 from spindlerelay.admission.concurrency_limit import ConcurrencyLimit
 from spindlerelay.admission.dependency_calls import DependencyCalls
+from spindlerelay.admission.drain import DrainState
 from spindlerelay.admission.idle_timeout import IdleTimeout
-from spindlerelay.admission.load_report import DRAIN_WARNING_FRACTION, LoadReport, TrafficWindow
+from spindlerelay.admission.load_report import LoadReport, TrafficWindow
 from spindlerelay.admission.load_shedding import LoadShedder
 from spindlerelay.admission.request_state import Phase, RequestState, RequestTable
 from spindlerelay.admission.self_ejection import SelfEjection
@@ -57,15 +58,13 @@
         self.traffic = TrafficWindow(shortest_objective_ms)
         self.report = LoadReport(settings)
         self.ejection = SelfEjection(settings, random_generator)
+        self.drain = DrainState(settings.drain_grace_ms)
         self.idle_timeout = IdleTimeout(settings, shortest_objective_ms, self._window_ms)
         self._now_ms = 0.0
         self._started = False
-        self._is_draining = False
         self._next_timer_ms = 0.0
         self._last_update_ms = 0.0
         self._total_stall_ms = 0.0
-        self._stop_ms = math.inf  # time at which the process is stopped
-        self._admission_end_ms = math.inf  # requests that arrive after this time are rejected
         self._gauges: dict[str, float] = {}
         self._last_logged_ms: dict[str, float] = {}
         self._actions: list[api.Action] = []
@@ -147,9 +146,7 @@
         elif isinstance(event, api.SettingsChanged):
             self._on_settings(event.settings)
         elif isinstance(event, api.DrainStarted):
-            self._is_draining = True
-            self._stop_ms = self._now_ms + event.remaining_ms
-            self._admission_end_ms = self._now_ms - event.elapsed_ms + self.settings.drain_grace_ms
+            self.drain.start(self._now_ms, event)
             self._actions.append(api.SetHealth(False, True))
             self._log("drain started")
         elif (request := self.requests.by_id.get(event.id)) is None:
@@ -190,7 +187,7 @@
         self.traffic.read_delay_ms = event.read_delay_ms
         self.traffic.reads += 1
         request.over_quota = self.quotas.charge(request.tenant_index, original_is_known)
-        is_late = request.useful_until_ms <= self._now_ms or request.arrived_ms > self._admission_end_ms
+        is_late = request.useful_until_ms <= self._now_ms or request.arrived_ms > self.drain.admission_end_ms
         is_keyed = statistics.spec.idempotency is api.Idempotency.KEYED
         repeats_effect = event.original_id and not request.idempotent
         if event.original_id and original_is_known and not (request.idempotent and is_late):
@@ -292,10 +289,10 @@
         else:
             statistics.finished += 1
         advise_no_retry = request.over_quota or is_overloaded or request.useful_until_ms <= self._now_ms
-        wait_ms = math.inf if self._is_draining else self.shedder.backlog_ms + statistics.mean_run_ms
+        wait_ms = math.inf if self.drain.active else self.shedder.backlog_ms + statistics.mean_run_ms
         retry_after_ms = min(self.settings.max_retry_after_ms, wait_ms)
         self._actions.append(
-            api.Reject(request.id, retry_after_ms, advise_no_retry and not self._is_draining)
+            api.Reject(request.id, retry_after_ms, advise_no_retry and not self.drain.active)
         )
         self._remove(request)
 
@@ -371,7 +368,7 @@
         self._actions += [api.EvictResult(request_id) for request_id in self.memory.expire(self._now_ms)]
         if self.idle_timeout.update(self.traffic):
             self._actions.append(api.SetIdleTimeout(self.idle_timeout.published_ms))
-        if self.ejection.update(self._now_ms, self.traffic, self._is_draining):
+        if self.ejection.update(self._now_ms, self.traffic, self.drain.active):
             self._actions.append(api.SetHealth(not self.ejection.ejected, True))
             if self.ejection.ejected:
                 self._log("server is slow to read requests: ejected from the endpoint list")
@@ -381,8 +378,7 @@
 
     def _publish_load(self, elapsed_s: float) -> None:
         credit = self.report.credit(self.concurrency.value, len(self.requests.by_id))
-        warning_ms = DRAIN_WARNING_FRACTION * self.settings.drain_grace_ms
-        discourage_all = self._now_ms > self._admission_end_ms - warning_ms
+        discourage_all = self.drain.discourages_callers(self._now_ms)
         cpu_utilization = self._gauges.get("cpu", 1.0)
         load = self.report.update(
             self.traffic.rejected_fraction(), elapsed_s, cpu_utilization, credit, discourage_all
@@ -396,7 +392,7 @@
         If the process stops before the next step, all open requests are answered.
         """
         horizon_ms = self._next_timer_ms + 2 * self.settings.tick_ms
-        if horizon_ms + self._tick_ms >= self._stop_ms:
+        if horizon_ms + self._tick_ms >= self.drain.stop_ms:
             horizon_ms = math.inf
         while (request := self.requests.pop_expired(horizon_ms)) is not None:
             if request.coalesced_count and request.useful_until_ms > horizon_ms:
@@ -454,7 +450,7 @@
     def _make_calls(self) -> None:
         """Make or skip the dependency calls that runs wait for."""
         response_margin_ms = 2 * self._tick_ms
-        for request, timeout_ms in self.calls.select(self._now_ms, self._stop_ms, response_margin_ms):
+        for request, timeout_ms in self.calls.select(self._now_ms, self.drain.stop_ms, response_margin_ms):
             if timeout_ms is None:
                 self._proceed_without_call(request)
             else:
--- a/spindlerelay/admission/load_report.py
+++ b/spindlerelay/admission/load_report.py
@@ -16,9 +16,6 @@
 FALL_PER_S = 0.25
 # Some traffic must still arrive, so that the server notices its recovery.
 MAX_DISCOURAGED_FRACTION = 0.9
-# All traffic is discouraged in this last part of the drain grace. No replacement for the server is ready
-# earlier.
-DRAIN_WARNING_FRACTION = 0.5
 # A smaller change of the load value is not published. For values above 1 this is a fraction of the value.
 MIN_PUBLISHED_CHANGE = 0.02
 CREDITS_PER_RUN = 4.0
--- a/tests/test_process_signals.py
+++ b/tests/test_process_signals.py
@@ -9,6 +9,7 @@
 import sys
 import time
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -23,6 +24,17 @@
 SIGNAL_INTERVAL_S = 0.0005  # a fraction of what the interpreter takes to end
 
 
+class ScriptedStart(Program):
+    """The program, started by a script that interferes with its start."""
+
+    def __init__(self, folder: Path, script: str, **more: Any) -> None:
+        self.script = script
+        super().__init__(folder, **more)
+
+    def command(self) -> list[str]:
+        return [sys.executable, "-c", self.script]
+
+
 @pytest.mark.parametrize("file", ["good", "wrong", "quiet"])
 def test_sighup_and_sigterm_in_one_instant_are_both_heard_and_what_is_open_is_answered(
     tmp_path: Path, file: str
@@ -79,11 +91,7 @@
         "runpy.run_module('spindlerelay', run_name='__main__')\n"
     )
 
-    class Told(Program):
-        def command(self) -> list[str]:
-            return [sys.executable, "-c", script]
-
-    node = Told(tmp_path)
+    node = ScriptedStart(tmp_path, script)
     try:
         assert node.process.wait(TIMEOUT_S) == 0
         assert "drained: all requests have their responses" in node.log.read_text()
@@ -108,14 +116,10 @@
         "runpy.run_module('spindlerelay', run_name='__main__')\n"
     )
 
-    class NotifiedInStart(Program):
-        def command(self) -> list[str]:
-            return [sys.executable, "-c", script]
-
     with socket.create_server(("127.0.0.1", 0)) as listening:
         fd = listening.fileno()
         env = {"LB_ACCEPT_FD": str(fd)} if handover else {}
-        node = NotifiedInStart(tmp_path, env=env, fds=(fd,) if handover else (), stop_ms=STOP_MS)
+        node = ScriptedStart(tmp_path, script, env=env, fds=(fd,) if handover else (), stop_ms=STOP_MS)
         try:
             assert node.process.wait(TIMEOUT_S) == 0
             remaining = re.search(r"stop in (\d+) ms", node.log.read_text())
