--- a/tests/node_harness.py
+++ b/tests/node_harness.py
@@ -110,7 +110,7 @@
         """Return a client whose connection has carried a request."""
         made = self.client()
         made.send(made.encode_request())
-        self.run_until(lambda: made.responded_ids() == [1])
+        assert self.run_until(lambda: made.responded_ids() == [1])
         return made
 
     def partial_requests(self) -> bool:
