Balancers: read input that is dropped in large pieces

Cause: a connection that is read no more kept its small reads, 1 KB a turn, so that the end of a client that had written megabytes came seconds later.

Fix: once input is dropped, the reads have their full size again.

The new test failed before.

--- a/spindlerelay/frontends/balancer_connection.py
+++ b/spindlerelay/frontends/balancer_connection.py
@@ -13,7 +13,7 @@
 from spindlerelay.frontends.msgpack_rpc_codec import Call, RequestSchema, Withdrawal
 from spindlerelay.frontends.read_limit import ReadLimit
 from spindlerelay.node.frontend import Failure, FinalResponse, IncomingRequest, RequestReceiver
-from spindlerelay.transport.connection import Connection
+from spindlerelay.transport.connection import MAX_READ_BYTES, Connection
 from spindlerelay.transport.event_loop import EventLoop
 from spindlerelay.transport.system import Socket
 
@@ -103,6 +103,8 @@
     def _transition(self, event: ConnectionEvent) -> None:
         self._state = TRANSITIONS[self._state, event]
         self._state_since_ms = self._server.loop.now()
+        if not self._reading:
+            self.connection.max_read_bytes = MAX_READ_BYTES  # dropping input costs little
 
     @property
     def _reading(self) -> bool:
--- a/tests/test_balancer_connections.py
+++ b/tests/test_balancer_connections.py
@@ -296,6 +296,16 @@
     assert limit.read_bytes == 2 * MIN_READ_BYTES
 
 
+def test_input_that_is_dropped_is_read_in_large_pieces(harness: NodeHarness) -> None:
+    """In small ones the end of the client was reached late, and closing connections piled up."""
+    client = harness.client()
+    (link,) = harness.balancer_server.connections
+    assert link.connection.max_read_bytes < MAX_READ_BYTES
+    client.send(b"\xc1" * 2000)
+    assert harness.run_until(lambda: link.closing)
+    assert link.connection.max_read_bytes == MAX_READ_BYTES
+
+
 def test_a_client_that_sends_on_after_a_goaway_for_bad_requests_is_read_no_more(harness: NodeHarness) -> None:
     """Its bad requests were answered without end. A balancer has at most 32 requests on their way then."""
     client = harness.client()
